--- /dev/null
+++ b/kumquatloom/cli/command.cpp
@@ -0,0 +1,16 @@
+#include <kumquatloom/cli/command.hpp>
+#include <kumquatloom/cli/commands.hpp>
+
+namespace kumquatloom::cli
+{
+
+std::vector<command> const& all_commands()
+{
+    static std::vector<command> const commands = {
+        {"check", "check a settings file or a document", run_check},
+        {"settings", "print the default settings", run_settings},
+    };
+    return commands;
+}
+
+} // namespace kumquatloom::cli
--- /dev/null
+++ b/kumquatloom/cli/commands.hpp
@@ -0,0 +1,17 @@
+#ifndef KUMQUATLOOM_CLI_COMMANDS_HPP
+#define KUMQUATLOOM_CLI_COMMANDS_HPP
+
+#include <string>
+#include <vector>
+
+namespace kumquatloom::cli
+{
+
+/// Checks a settings file or a document and prints every fault.
+int run_check(std::vector<std::string> const& arguments);
+/// Prints the default settings.
+int run_settings(std::vector<std::string> const& arguments);
+
+} // namespace kumquatloom::cli
+
+#endif
--- /dev/null
+++ b/kumquatloom/cli/main.cpp
@@ -0,0 +1,58 @@
+#include <kumquatloom/cli/command.hpp>
+
+#include <exception>
+#include <iostream>
+
+namespace
+{
+
+using namespace kumquatloom;
+
+void print_overview(std::ostream& out)
+{
+    out << "kumquatloom: a proxy fleet for upstreams with gray failures\n\n"
+           "usage: kumquatloom COMMAND [OPTION...]\n\ncommands:\n";
+    for (auto const& command : cli::all_commands())
+    {
+        std::string name(command.name);
+        name.resize(12, ' ');
+        out << "  " << name << command.summary << '\n';
+    }
+    out << "\n'kumquatloom COMMAND --help' shows a command's options and an "
+           "example.\n";
+}
+
+int run_command(std::vector<std::string> const& arguments)
+{
+    if (arguments.empty())
+    {
+        print_overview(std::cerr);
+        return cli::exit_usage;
+    }
+    if (arguments.front() == "--help" || arguments.front() == "help")
+    {
+        print_overview(std::cout);
+        return cli::exit_success;
+    }
+    for (auto const& command : cli::all_commands())
+        if (command.name == arguments.front())
+            return command.run({arguments.begin() + 1, arguments.end()});
+    std::cerr << "unknown command '" << arguments.front() << "'\n\n";
+    print_overview(std::cerr);
+    return cli::exit_usage;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    try
+    {
+        return run_command({argv + 1, argv + argc});
+    }
+    catch (std::exception const& error)
+    {
+        std::cerr << "kumquatloom: " << error.what() << '\n';
+        return cli::exit_failure;
+    }
+}
--- /dev/null
+++ b/kumquatloom/core/fault.hpp
@@ -0,0 +1,32 @@
+#ifndef KUMQUATLOOM_CORE_FAULT_HPP
+#define KUMQUATLOOM_CORE_FAULT_HPP
+
+#include <iosfwd>
+#include <string>
+#include <vector>
+
+namespace kumquatloom::core
+{
+
+/// One thing that is wrong in a settings file or a document.
+struct fault
+{
+    /// JSON pointer to the place, empty for the whole text.
+    std::string pointer;
+    /// The value that was found, as JSON text.
+    std::string value;
+    /// What is allowed in that place.
+    std::string allowed;
+
+    friend bool operator==(fault const&, fault const&) = default;
+};
+
+/// All faults of one text, in the order in which they were found.
+using fault_list = std::vector<fault>;
+
+/// Writes one fault on one line.
+std::ostream& operator<<(std::ostream& out, fault const& item);
+
+} // namespace kumquatloom::core
+
+#endif
--- /dev/null
+++ b/kumquatloom/core/ids.hpp
@@ -0,0 +1,34 @@
+#ifndef KUMQUATLOOM_CORE_IDS_HPP
+#define KUMQUATLOOM_CORE_IDS_HPP
+
+#include <kumquatloom/core/strong_string.hpp>
+
+#include <cstdint>
+
+namespace kumquatloom::core
+{
+
+/// Names an entry instance.
+using instance_id = strong_string<struct instance_id_tag>;
+/// Names an upstream.
+using upstream_id = strong_string<struct upstream_id_tag>;
+/// Names a service, which is a group of equivalent upstreams.
+using service_name = strong_string<struct service_name_tag>;
+/// Names an organisation, on whose behalf callers send requests.
+using organisation_name = strong_string<struct organisation_name_tag>;
+/// Names a failure domain.
+using failure_domain = strong_string<struct failure_domain_tag>;
+/// Names a region, which holds several failure domains.
+using region = strong_string<struct region_tag>;
+/// Identifies one request on its way to an upstream and back.
+using request_id = strong_string<struct request_id_tag>;
+
+/// Distinguishes the process starts of one instance.
+using incarnation = std::uint64_t;
+/// Position of a record in the platform's log. The version of the document is
+/// the offset of the last applied record.
+using log_offset = std::uint64_t;
+
+} // namespace kumquatloom::core
+
+#endif
--- /dev/null
+++ b/kumquatloom/document/parse_document.hpp
@@ -0,0 +1,21 @@
+#ifndef KUMQUATLOOM_DOCUMENT_PARSE_DOCUMENT_HPP
+#define KUMQUATLOOM_DOCUMENT_PARSE_DOCUMENT_HPP
+
+#include <kumquatloom/core/fault.hpp>
+#include <kumquatloom/document/document.hpp>
+
+#include <boost/smart_ptr/intrusive_ptr.hpp>
+
+#include <string_view>
+
+namespace kumquatloom::document
+{
+
+/// Parses and checks a whole document; adds every fault that it finds. The
+/// result is usable only if no fault was added.
+boost::intrusive_ptr<document> parse_document(std::string_view text,
+                                              core::fault_list& faults);
+
+} // namespace kumquatloom::document
+
+#endif
--- /dev/null
+++ b/unit_tests/settings/instance_settings_test.cpp
@@ -0,0 +1,61 @@
+#include <kumquatloom/settings/instance_settings.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <string>
+
+namespace
+{
+
+using namespace kumquatloom;
+
+/// The default settings with one piece of text replaced.
+std::string changed(std::string const& from, std::string const& to)
+{
+    std::string text = settings::default_settings_text();
+    text.replace(text.find(from), from.size(), to);
+    return text;
+}
+
+core::fault_list faults_of(std::string const& text)
+{
+    core::fault_list faults;
+    settings::parse_instance_settings(text, faults);
+    return faults;
+}
+
+} // namespace
+
+// Guards against an instance that starts with settings it misread.
+TEST_CASE("an operator writes the settings of an instance")
+{
+    SECTION("the defaults are clean")
+    {
+        CHECK(faults_of(settings::default_settings_text()).empty());
+    }
+
+    SECTION("a misspelt key is reported with its place")
+    {
+        auto const faults = faults_of(changed("\"poll_ms\"", "\"poll_msec\""));
+        REQUIRE(faults.size() == 1);
+        CHECK(faults[0].pointer == "/platform/poll_msec");
+    }
+
+    SECTION("two listeners on one address are reported")
+    {
+        auto const faults =
+            faults_of(changed("127.0.0.1:8081", "127.0.0.1:8080"));
+        REQUIRE(faults.size() == 1);
+        CHECK(faults[0].pointer == "/listen/operators");
+    }
+
+    SECTION("all faults are reported at once")
+    {
+        std::string text = changed("\"threads\": 2", "\"threads\": 0");
+        text.replace(text.find("127.0.0.1:9000"), 14, "somewhere");
+        text.replace(text.find("16384"), 5, "\"big\"");
+        text.replace(text.find("\"info\""), 6, "\"loud\"");
+        text.replace(text.find("000102030405060708090a0b0c0d0e0f"), 32, "00");
+        CHECK(faults_of(text).size() == 5);
+    }
+}
