Add the entry instance and the command serve

There was no program that callers can reach. The package entry now holds the callers' and operators' servers, the upstream pools and the proxy handler: one io_context per worker with its own listener (SO_REUSEPORT), sessions, pools and connections, and one control thread for the instance list, the operators' port and the drain. Upstream answers are buffered and verified before the first byte goes to the caller.

The document comes from a file until the replicated log exists; routing is round robin with one retry.

Tried by hand against a small upstream: 200, 401, 404, 413, HEAD, a chunked body, entries, metrics, readiness and a stop by SIGTERM.

--- a/kumquatloom/cli/command.cpp
+++ b/kumquatloom/cli/command.cpp
@@ -9,6 +9,7 @@
     static std::vector<command> const commands = {
         {"check", "check a settings file or a document", run_check},
         {"settings", "print the default settings", run_settings},
+        {"serve", "run an entry instance", run_serve},
     };
     return commands;
 }
--- a/kumquatloom/cli/commands.hpp
+++ b/kumquatloom/cli/commands.hpp
@@ -11,6 +11,8 @@
 int run_check(std::vector<std::string> const& arguments);
 /// Prints the default settings.
 int run_settings(std::vector<std::string> const& arguments);
+/// Runs an entry instance until it has left.
+int run_serve(std::vector<std::string> const& arguments);
 
 } // namespace kumquatloom::cli
 
--- /dev/null
+++ b/kumquatloom/entry/caller_listener.cpp
@@ -0,0 +1,98 @@
+#include <kumquatloom/entry/caller_listener.hpp>
+#include <kumquatloom/entry/instance_state.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <sys/socket.h>
+#include <utility>
+
+namespace kumquatloom::entry
+{
+
+namespace
+{
+
+using reuse_port =
+    asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
+
+/// Pause after a failed accept, which mostly means that descriptors ran out.
+constexpr std::chrono::milliseconds accept_pause{10};
+
+} // namespace
+
+caller_listener::caller_listener(asio::io_context& context,
+                                 instance_state& state,
+                                 proxy_handler& handler,
+                                 tcp::endpoint const& address)
+    : context_(context)
+    , state_(state)
+    , handler_(handler)
+    , acceptor_(context)
+    , pause_(context)
+{
+    acceptor_.open(address.protocol());
+    acceptor_.set_option(tcp::acceptor::reuse_address(true));
+    acceptor_.set_option(reuse_port(true));
+    acceptor_.bind(address);
+    acceptor_.listen();
+}
+
+asio::awaitable<void> caller_listener::run()
+{
+    while (acceptor_.is_open())
+    {
+        auto [error, socket] = co_await acceptor_.async_accept(as_result);
+        if (!error)
+        {
+            serve(std::move(socket));
+        }
+        else if (acceptor_.is_open())
+        {
+            pause_.expires_after(accept_pause);
+            co_await pause_.async_wait(as_result);
+        }
+    }
+}
+
+void caller_listener::serve(tcp::socket socket)
+{
+    auto const open = state_.caller_connections.fetch_add(1);
+    if (open >= state_.settings.callers.connections)
+    {
+        state_.caller_connections.fetch_sub(1);
+        state_.events.increment(entry_event::caller_refused);
+        return;
+    }
+    state_.events.increment(entry_event::caller_accepted);
+    boost::intrusive_ptr<caller_session> const session(
+        new caller_session(std::move(socket), state_, handler_));
+    sessions_.push_back(*session);
+    asio::co_spawn(context_, caller_session::run(session), asio::detached);
+}
+
+void caller_listener::close()
+{
+    error_code ignored;
+    acceptor_.close(ignored);
+    pause_.cancel();
+}
+
+void caller_listener::finish_sessions()
+{
+    for (auto& session : sessions_)
+        session.finish();
+}
+
+void caller_listener::abort_sessions()
+{
+    for (auto& session : sessions_)
+        session.abort();
+}
+
+tcp::endpoint caller_listener::address() const
+{
+    return acceptor_.local_endpoint();
+}
+
+} // namespace kumquatloom::entry
--- /dev/null
+++ b/kumquatloom/entry/entry_instance.cpp
@@ -0,0 +1,214 @@
+#include <kumquatloom/core/logging.hpp>
+#include <kumquatloom/entry/drain_controller.hpp>
+#include <kumquatloom/entry/entry_instance.hpp>
+#include <kumquatloom/entry/instance_state.hpp>
+#include <kumquatloom/entry/list_poller.hpp>
+#include <kumquatloom/entry/operator_server.hpp>
+#include <kumquatloom/entry/worker.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/signal_set.hpp>
+
+#include <csignal>
+#include <thread>
+#include <utility>
+#include <vector>
+
+namespace kumquatloom::entry
+{
+
+namespace
+{
+
+tcp::endpoint to_tcp(settings::endpoint const& address)
+{
+    return {asio::ip::make_address(address.host), address.port};
+}
+
+} // namespace
+
+/// Everything that an instance owns.
+class entry_instance::parts
+{
+public:
+    parts(settings::instance_settings settings, std::chrono::milliseconds grace)
+        : state(std::move(settings))
+        , drain(context,
+                state,
+                grace,
+                [this]
+                {
+                    finish();
+                })
+        , operators(
+              context, state, drain, to_tcp(state.settings.listen.operators))
+        , poller(context, state)
+        , signals(context)
+    {
+        add_workers();
+        state.callers_port = workers.front()->address().port();
+        state.operators_port = operators.address().port();
+        start();
+    }
+
+    ~parts()
+    {
+        if (!thread.joinable())
+            return;
+        for (auto const& item : workers)
+            item->abort();
+        asio::post(context,
+                   [this]
+                   {
+                       close_control();
+                       drain.hasten();
+                   });
+        join();
+    }
+
+    /// Creates one listener per worker; the first one picks the port.
+    void add_workers()
+    {
+        auto const& settings = state.settings;
+        auto const limit = settings.upstreams.connections_per_upstream;
+        // Each worker needs a connection of its own to each upstream.
+        auto const count = std::min<std::size_t>(settings.threads, limit);
+        auto address = to_tcp(settings.listen.callers);
+        for (std::size_t index = 0; index < count; ++index)
+        {
+            auto const share = limit / count + (index < limit % count ? 1 : 0);
+            workers.push_back(std::make_unique<worker>(state, address, share));
+            address = workers.front()->address();
+        }
+    }
+
+    /// Starts all threads.
+    void start()
+    {
+        asio::co_spawn(context, operators.run(), asio::detached);
+        asio::co_spawn(context, poller.run(), asio::detached);
+        for (auto const& item : workers)
+            item->start();
+        thread = std::thread(
+            [this]
+            {
+                context.run();
+            });
+    }
+
+    /// Lets running requests end, and with them the workers' threads.
+    void finish()
+    {
+        for (auto const& item : workers)
+            item->finish();
+        close_control();
+    }
+
+    /// Ends the control thread's own work.
+    void close_control()
+    {
+        operators.close();
+        poller.stop();
+        signals.cancel();
+    }
+
+    /// Waits for all threads.
+    void join()
+    {
+        for (auto const& item : workers)
+            item->join();
+        thread.join();
+    }
+
+    /// Waits for the next signal.
+    void wait_for_signal()
+    {
+        signals.async_wait(
+            [this](error_code error, int)
+            {
+                if (error)
+                    return;
+                if (state.leaving)
+                    drain.hasten();
+                else
+                    drain.begin("signal");
+                wait_for_signal();
+            });
+    }
+
+    /// What all threads share.
+    instance_state state;
+    /// Runs the control thread.
+    asio::io_context context{1};
+    /// Lets the instance leave.
+    drain_controller drain;
+    /// The operators' port.
+    operator_server operators;
+    /// Reads the platform's list.
+    list_poller poller;
+    /// SIGTERM and SIGINT, if asked for.
+    asio::signal_set signals;
+    /// The threads that serve callers.
+    std::vector<std::unique_ptr<worker>> workers;
+    /// The control thread.
+    std::thread thread;
+};
+
+entry_instance::entry_instance(settings::instance_settings settings,
+                               std::chrono::milliseconds grace)
+    : parts_(std::make_unique<parts>(std::move(settings), grace))
+{
+    auto const& state = parts_->state;
+    core::log_info("listening",
+                   {{"instance", state.settings.instance.id.value()},
+                    {"callers", std::to_string(callers_port())},
+                    {"operators", std::to_string(operators_port())}});
+}
+
+entry_instance::~entry_instance() = default;
+
+void entry_instance::publish(
+    boost::intrusive_ptr<document::document const> document)
+{
+    parts_->state.document.publish(std::move(document));
+}
+
+void entry_instance::leave_on_signals()
+{
+    asio::post(parts_->context,
+               [this]
+               {
+                   parts_->signals.add(SIGTERM);
+                   parts_->signals.add(SIGINT);
+                   parts_->wait_for_signal();
+               });
+}
+
+void entry_instance::drain()
+{
+    asio::post(parts_->context,
+               [this]
+               {
+                   parts_->drain.begin("program");
+               });
+}
+
+void entry_instance::wait()
+{
+    if (parts_->thread.joinable())
+        parts_->join();
+}
+
+std::uint16_t entry_instance::callers_port() const
+{
+    return parts_->state.callers_port;
+}
+
+std::uint16_t entry_instance::operators_port() const
+{
+    return parts_->state.operators_port;
+}
+
+} // namespace kumquatloom::entry
--- /dev/null
+++ b/kumquatloom/entry/operator_server.cpp
@@ -0,0 +1,124 @@
+#include <kumquatloom/entry/drain_controller.hpp>
+#include <kumquatloom/entry/instance_state.hpp>
+#include <kumquatloom/entry/metrics_page.hpp>
+#include <kumquatloom/entry/operator_server.hpp>
+#include <kumquatloom/entry/status_page.hpp>
+#include <kumquatloom/entry/system_answer.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <utility>
+
+namespace kumquatloom::entry
+{
+
+namespace
+{
+
+/// Time for one request of an operator.
+constexpr std::chrono::seconds operator_timeout{5};
+/// Largest body that an operator may send: a document.
+constexpr std::size_t operator_body_limit = 16 * 1024 * 1024;
+
+http_response text_answer(http::status status, std::string body)
+{
+    auto answer = json_answer(status, std::move(body));
+    answer.set(http::field::content_type, "text/plain; version=0.0.4");
+    return answer;
+}
+
+} // namespace
+
+operator_server::operator_server(asio::io_context& context,
+                                 instance_state& state,
+                                 drain_controller& drain,
+                                 tcp::endpoint const& address)
+    : context_(context)
+    , state_(state)
+    , drain_(drain)
+    , acceptor_(context, address)
+{
+}
+
+asio::awaitable<void> operator_server::run()
+{
+    while (acceptor_.is_open())
+    {
+        auto [error, socket] = co_await acceptor_.async_accept(as_result);
+        if (!error)
+            asio::co_spawn(context_, serve(std::move(socket)), asio::detached);
+    }
+}
+
+void operator_server::close()
+{
+    error_code ignored;
+    acceptor_.close(ignored);
+}
+
+asio::awaitable<void> operator_server::serve(tcp::socket socket)
+{
+    beast::tcp_stream stream(std::move(socket));
+    beast::flat_buffer buffer;
+    bool more = true;
+    while (more)
+    {
+        http::request_parser<http::string_body> parser;
+        parser.body_limit(operator_body_limit);
+        stream.expires_after(operator_timeout);
+        auto const [read_error, read_size] =
+            co_await http::async_read(stream, buffer, parser, as_result);
+        if (read_error)
+            break;
+        auto response = answer(parser.get());
+        more = parser.get().keep_alive() && acceptor_.is_open();
+        response.keep_alive(more);
+        auto const [write_error, write_size] =
+            co_await http::async_write(stream, response, as_result);
+        more = more && !write_error;
+    }
+    error_code ignored;
+    stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+}
+
+http_response operator_server::answer(http_request const& request)
+{
+    auto const target = request.target();
+    std::string_view const path(target.data(), target.size());
+    if (request.method() == http::verb::post && path == "/drain")
+    {
+        drain_.begin("operator");
+        return json_answer(http::status::accepted, "{\"state\":\"leaving\"}\n");
+    }
+    if (request.method() == http::verb::get)
+        return page(path);
+    return json_answer(http::status::not_found, "{}\n");
+}
+
+http_response operator_server::page(std::string_view path) const
+{
+    if (path == "/metrics")
+    {
+        metrics_page metrics;
+        metrics.add(state_);
+        return text_answer(http::status::ok, metrics.text());
+    }
+    if (path == "/status")
+        return json_answer(http::status::ok, status_page(state_));
+    if (path == "/healthz")
+        return text_answer(http::status::ok, "ok\n");
+    if (path != "/readyz")
+        return json_answer(http::status::not_found, "{}\n");
+    bool const ready =
+        !state_.leaving && state_.document.read() && state_.instances.read();
+    return ready
+               ? text_answer(http::status::ok, "ready\n")
+               : text_answer(http::status::service_unavailable, "not ready\n");
+}
+
+} // namespace kumquatloom::entry
--- /dev/null
+++ b/kumquatloom/entry/upstream_pool.cpp
@@ -0,0 +1,145 @@
+#include <kumquatloom/entry/instance_state.hpp>
+#include <kumquatloom/entry/upstream_pool.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace kumquatloom::entry
+{
+
+upstream_pool::lease::lease(boost::intrusive_ptr<upstream_pool> pool,
+                            std::unique_ptr<upstream_connection> connection)
+    : pool_(std::move(pool))
+    , connection_(std::move(connection))
+{
+}
+
+upstream_pool::lease::~lease()
+{
+    if (!connection_)
+        return;
+    connection_->close();
+    pool_->release_place();
+}
+
+void upstream_pool::lease::give_back()
+{
+    pool_->give_back(std::move(connection_));
+}
+
+upstream_pool::upstream_pool(asio::io_context& context,
+                             instance_state& state,
+                             tcp::endpoint peer,
+                             std::size_t limit)
+    : context_(context)
+    , state_(state)
+    , peer_(std::move(peer))
+    , limit_(limit)
+{
+}
+
+asio::awaitable<core::result<upstream_pool::lease, answer_reason>>
+upstream_pool::acquire(core::time_point deadline)
+{
+    auto connection = take_idle();
+    if (!connection)
+    {
+        bool const granted = co_await wait_for_place(deadline, connection);
+        if (!granted)
+            co_return answer_reason::connections_busy;
+    }
+    if (connection && connection->quiet())
+    {
+        state_.events.increment(entry_event::upstream_reused);
+        co_return lease(this, std::move(connection));
+    }
+    co_return co_await connect(deadline);
+}
+
+std::unique_ptr<upstream_connection> upstream_pool::take_idle()
+{
+    while (!idle_.empty())
+    {
+        auto connection = std::move(idle_.back().connection);
+        idle_.pop_back();
+        if (connection->quiet())
+            return connection;
+        state_.events.increment(entry_event::upstream_stale);
+        connection->close();
+        release_place();
+    }
+    return nullptr;
+}
+
+asio::awaitable<bool>
+upstream_pool::wait_for_place(core::time_point deadline,
+                              std::unique_ptr<upstream_connection>& connection)
+{
+    if (open_ < limit_)
+    {
+        ++open_;
+        co_return true;
+    }
+    waiter self(context_);
+    waiters_.push_back(self);
+    self.timer.expires_at(deadline);
+    co_await self.timer.async_wait(as_result);
+    connection = std::move(self.connection);
+    co_return self.granted;
+}
+
+asio::awaitable<core::result<upstream_pool::lease, answer_reason>>
+upstream_pool::connect(core::time_point deadline)
+{
+    lease result(this, std::make_unique<upstream_connection>(context_));
+    auto const limit =
+        core::clock::now() + state_.settings.upstreams.connect_timeout;
+    auto const error =
+        co_await result.connection().connect(peer_, std::min(limit, deadline));
+    if (error)
+        co_return answer_reason::connect_failed;
+    state_.events.increment(entry_event::upstream_connected);
+    co_return result;
+}
+
+void upstream_pool::close_idle(core::time_point unused_since)
+{
+    auto const last = std::partition(idle_.begin(),
+                                     idle_.end(),
+                                     [&](idle_connection& item)
+                                     {
+                                         return item.since >= unused_since &&
+                                                item.connection->quiet();
+                                     });
+    auto const closed = static_cast<std::size_t>(idle_.end() - last);
+    idle_.erase(last, idle_.end());
+    for (std::size_t count = 0; count < closed; ++count)
+        release_place();
+}
+
+void upstream_pool::give_back(std::unique_ptr<upstream_connection> connection)
+{
+    if (waiters_.empty())
+        idle_.push_back({std::move(connection), core::clock::now()});
+    else
+        hand_over(std::move(connection));
+}
+
+void upstream_pool::release_place()
+{
+    if (waiters_.empty())
+        --open_;
+    else
+        hand_over(nullptr);
+}
+
+void upstream_pool::hand_over(std::unique_ptr<upstream_connection> connection)
+{
+    waiter& next = waiters_.front();
+    waiters_.pop_front();
+    next.granted = true;
+    next.connection = std::move(connection);
+    next.timer.cancel();
+}
+
+} // namespace kumquatloom::entry
