--- /dev/null
+++ b/kumquatloom/core/mutation.cpp
@@ -0,0 +1,53 @@
+#include <kumquatloom/core/mutation.hpp>
+
+#include <array>
+#include <cstddef>
+#include <cstdlib>
+
+namespace kumquatloom::core
+{
+
+namespace
+{
+
+constexpr std::array<std::string_view,
+                     static_cast<std::size_t>(mutation::count)>
+    names = {
+        "reuse_connection_after_timeout",
+        "skip_request_id_check",
+        "skip_digest_check",
+        "retry_unknown_outcome",
+        "report_written_as_not_run",
+        "run_ticket_twice",
+        "exceed_ejection_budget",
+        "honour_ejection_without_freshness",
+        "pick_leaving_upstream",
+        "accept_older_version",
+        "apply_edit_twice",
+        "accept_stale_base",
+        "exit_while_draining",
+        "hand_out_leaving_instance",
+        "accept_replayed_frame",
+        "ignore_giver_lease",
+};
+
+} // namespace
+
+std::string_view to_string(mutation which)
+{
+    return names[static_cast<std::size_t>(which)];
+}
+
+#ifdef KUMQUATLOOM_MUTATIONS
+bool is_mutated(mutation which)
+{
+    static std::string_view const selected = []
+    {
+        char const* const name = std::getenv("KUMQUATLOOM_MUTATION");
+        return std::string_view(name == nullptr ? "" : name);
+    }();
+    return selected == to_string(which);
+}
+#endif
+
+} // namespace kumquatloom::core
--- /dev/null
+++ b/kumquatloom/core/mutation.hpp
@@ -0,0 +1,49 @@
+#ifndef KUMQUATLOOM_CORE_MUTATION_HPP
+#define KUMQUATLOOM_CORE_MUTATION_HPP
+
+#include <string_view>
+
+namespace kumquatloom::core
+{
+
+/// Rules that a build for mutation testing can break, one at a time, to show
+/// that a test notices. scripts/mutations lists and runs them.
+enum class mutation
+{
+    reuse_connection_after_timeout,
+    skip_request_id_check,
+    skip_digest_check,
+    retry_unknown_outcome,
+    report_written_as_not_run,
+    run_ticket_twice,
+    exceed_ejection_budget,
+    honour_ejection_without_freshness,
+    pick_leaving_upstream,
+    accept_older_version,
+    apply_edit_twice,
+    accept_stale_base,
+    exit_while_draining,
+    hand_out_leaving_instance,
+    accept_replayed_frame,
+    ignore_giver_lease,
+    /// Number of mutations.
+    count
+};
+
+/// Name of a mutation, as scripts/mutations passes it.
+std::string_view to_string(mutation which);
+
+#ifdef KUMQUATLOOM_MUTATIONS
+/// Whether the environment variable KUMQUATLOOM_MUTATION names the mutation.
+bool is_mutated(mutation which);
+#else
+/// Always false: only the preset "mutations" compiles the seams in.
+constexpr bool is_mutated(mutation)
+{
+    return false;
+}
+#endif
+
+} // namespace kumquatloom::core
+
+#endif
