Add the commands status and drain

Operators had no way to ask an instance for its state or to let it leave other than by hand. The listening line now has whole addresses, since scripts register them as they are. A caller that goes away also ends a wait for a connection, and a finishing listener serves connections that are already established.

--- a/kumquatloom/cli/command.cpp
+++ b/kumquatloom/cli/command.cpp
@@ -10,6 +10,8 @@
         {"check", "check a settings file or a document", run_check},
         {"settings", "print the default settings", run_settings},
         {"serve", "run an entry instance", run_serve},
+        {"status", "show the state of an entry instance", run_status},
+        {"drain", "let an entry instance leave", run_drain},
     };
     return commands;
 }
--- a/kumquatloom/cli/commands.hpp
+++ b/kumquatloom/cli/commands.hpp
@@ -13,6 +13,10 @@
 int run_settings(std::vector<std::string> const& arguments);
 /// Runs an entry instance until it has left.
 int run_serve(std::vector<std::string> const& arguments);
+/// Shows the state of an entry instance.
+int run_status(std::vector<std::string> const& arguments);
+/// Lets an entry instance leave.
+int run_drain(std::vector<std::string> const& arguments);
 
 } // namespace kumquatloom::cli
 
--- a/kumquatloom/entry/call.hpp
+++ b/kumquatloom/entry/call.hpp
@@ -3,8 +3,10 @@
 
 #include <kumquatloom/core/clock.hpp>
 #include <kumquatloom/entry/http_types.hpp>
+#include <kumquatloom/entry/interruption.hpp>
 #include <kumquatloom/entry/memory_account.hpp>
-#include <kumquatloom/entry/upstream_connection.hpp>
+
+#include <utility>
 
 namespace kumquatloom::entry
 {
@@ -13,44 +15,30 @@
 class call
 {
 public:
-    /// Names the connection of the running exchange, so that cancel() can
-    /// close it.
-    class exchange_scope
-    {
-    public:
-        exchange_scope(call& owner, upstream_connection& connection)
-            : owner_(owner)
-        {
-            owner_.active_ = &connection;
-        }
-
-        ~exchange_scope()
-        {
-            owner_.active_ = nullptr;
-        }
-
-        exchange_scope(exchange_scope const&) = delete;
-        exchange_scope& operator=(exchange_scope const&) = delete;
-
-    private:
-        /// The call that the exchange belongs to.
-        call& owner_;
-    };
-
-    /// A request that was received completely at `received`.
+    /// A request that was received completely at `when`.
     call(http_request given, core::time_point when)
         : request(std::move(given))
         , received(when)
     {
     }
 
-    /// Gives up: the caller has gone away. Closing the connection cancels the
-    /// request at the upstream.
+    /// Names something that the call waits for from now on.
+    void wait_for(interruption& item)
+    {
+        waits_.push_back(item);
+    }
+
+    /// Gives up, since the caller has gone away: ends every wait.
     void cancel()
     {
         cancelled_ = true;
-        if (active_ != nullptr)
-            active_->close();
+        // An interruption may unlink itself or others.
+        while (!waits_.empty())
+        {
+            auto& item = waits_.front();
+            waits_.pop_front();
+            item();
+        }
     }
 
     /// Whether the caller has gone away.
@@ -69,8 +57,8 @@
     memory_account::reservation memory;
 
 private:
-    /// The connection of the running exchange.
-    upstream_connection* active_ = nullptr;
+    /// What the call waits for.
+    interruption_list waits_;
     /// Whether the caller has gone away.
     bool cancelled_ = false;
 };
--- a/kumquatloom/entry/caller_listener.cpp
+++ b/kumquatloom/entry/caller_listener.cpp
@@ -73,8 +73,16 @@
 
 void caller_listener::close()
 {
-    error_code ignored;
-    acceptor_.close(ignored);
+    error_code error;
+    acceptor_.non_blocking(true, error);
+    while (!error)
+    {
+        tcp::socket socket(context_);
+        acceptor_.accept(socket, error);
+        if (!error)
+            serve(std::move(socket));
+    }
+    acceptor_.close(error);
     pause_.cancel();
 }
 
--- a/kumquatloom/entry/caller_listener.hpp
+++ b/kumquatloom/entry/caller_listener.hpp
@@ -28,7 +28,7 @@
     /// Accepts connections until close().
     asio::awaitable<void> run();
 
-    /// Accepts no more connections.
+    /// Accepts the connections that are already established, and no more.
     void close();
 
     /// Lets every connection end after the request that it is serving.
--- a/kumquatloom/entry/caller_session.cpp
+++ b/kumquatloom/entry/caller_session.cpp
@@ -93,7 +93,7 @@
 caller_session::run(boost::intrusive_ptr<caller_session> self)
 {
     bool more = true;
-    while (more && !self->finishing_)
+    while (more)
         more = co_await self->serve_one();
     co_await self->close();
 }
@@ -101,7 +101,14 @@
 void caller_session::finish()
 {
     finishing_ = true;
-    if (idle_)
+    if (!idle_)
+        return;
+    // A request that has already arrived is still served.
+    char byte = 0;
+    error_code error;
+    stream_.socket().receive(
+        asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+    if (error)
         abort();
 }
 
--- a/kumquatloom/entry/entry_instance.cpp
+++ b/kumquatloom/entry/entry_instance.cpp
@@ -163,8 +163,9 @@
     auto const& state = parts_->state;
     core::log_info("listening",
                    {{"instance", state.settings.instance.id.value()},
-                    {"callers", std::to_string(callers_port())},
-                    {"operators", std::to_string(operators_port())}});
+                    {"callers", to_string(state.callers_address())},
+                    {"operators", to_string(state.operators_address())},
+                    {"peers", to_string(state.settings.listen.peers)}});
 }
 
 entry_instance::~entry_instance() = default;
--- a/kumquatloom/entry/instance_state.hpp
+++ b/kumquatloom/entry/instance_state.hpp
@@ -30,6 +30,18 @@
     {
     }
 
+    /// The callers' address in use.
+    settings::endpoint callers_address() const
+    {
+        return {settings.listen.callers.host, callers_port};
+    }
+
+    /// The operators' address in use.
+    settings::endpoint operators_address() const
+    {
+        return {settings.listen.operators.host, operators_port};
+    }
+
     /// The settings of the instance.
     settings::instance_settings const settings;
     /// When the instance started.
--- a/kumquatloom/entry/proxy_handler.cpp
+++ b/kumquatloom/entry/proxy_handler.cpp
@@ -23,8 +23,6 @@
 /// Paths that the system answers itself.
 constexpr std::string_view own_paths = "/.kumquatloom/";
 constexpr std::string_view entries_path = "/.kumquatloom/entries";
-/// Longest deadline that a caller may ask for.
-constexpr std::chrono::milliseconds max_deadline = std::chrono::minutes(10);
 
 std::string_view as_view(beast::string_view text)
 {
@@ -55,21 +53,21 @@
     return rule == document::repeat_rule::always;
 }
 
-/// The caller's deadline; nothing if the header is malformed.
+/// The caller's deadline, of which the route's is the upper limit; nothing if
+/// the header is malformed.
 std::optional<std::chrono::milliseconds>
-requested_deadline(http_request const& request,
-                   std::chrono::milliseconds fallback)
+requested_deadline(http_request const& request, std::chrono::milliseconds limit)
 {
     if (request.count(deadline_header) == 0)
-        return fallback;
+        return limit;
     auto const text = as_view(request[deadline_header]);
     std::uint64_t number = 0;
     auto const parsed =
         std::from_chars(text.data(), text.data() + text.size(), number);
     if (parsed.ec != std::errc() || parsed.ptr != text.data() + text.size())
         return std::nullopt;
-    auto const limit = static_cast<std::uint64_t>(max_deadline.count());
-    return std::chrono::milliseconds(std::min(number, limit));
+    return std::chrono::milliseconds(
+        std::min(number, static_cast<std::uint64_t>(limit.count())));
 }
 
 } // namespace
@@ -209,8 +207,7 @@
     auto const& self = state_.settings.instance;
     if (!state_.leaving.load(std::memory_order_relaxed))
         add(self.id.value(),
-            state_.settings.listen.callers.host + ':' +
-                std::to_string(state_.callers_port.load()),
+            settings::to_string(state_.callers_address()),
             self.failure_domain,
             self.region);
     if (auto const list = state_.instances.read())
--- a/kumquatloom/entry/status_page.cpp
+++ b/kumquatloom/entry/status_page.cpp
@@ -10,12 +10,6 @@
 namespace
 {
 
-std::string with_port(settings::endpoint address, std::uint16_t port)
-{
-    address.port = port;
-    return settings::to_string(address);
-}
-
 boost::json::object list_part(instance_state const& state)
 {
     boost::json::object part;
@@ -41,19 +35,18 @@
 
 std::string status_page(instance_state const& state)
 {
-    auto const& settings = state.settings;
+    auto const& identity = state.settings.instance;
     auto const document = state.document.read();
     auto const uptime = core::clock::now() - state.started;
     boost::json::object page;
-    page["instance"] = settings.instance.id.value();
-    page["failure_domain"] = settings.instance.failure_domain.value();
-    page["region"] = settings.instance.region.value();
+    page["instance"] = identity.id.value();
+    page["failure_domain"] = identity.failure_domain.value();
+    page["region"] = identity.region.value();
     page["state"] = state.leaving ? "leaving" : "serving";
     page["uptime_ms"] =
         std::chrono::duration_cast<std::chrono::milliseconds>(uptime).count();
-    page["callers"] = with_port(settings.listen.callers, state.callers_port);
-    page["operators"] =
-        with_port(settings.listen.operators, state.operators_port);
+    page["callers"] = settings::to_string(state.callers_address());
+    page["operators"] = settings::to_string(state.operators_address());
     page["document_version"] = document ? document->version : 0;
     page["caller_connections"] = state.caller_connections.load();
     page["requests_in_flight"] = state.requests_in_flight.load();
--- a/kumquatloom/entry/upstream_exchange.cpp
+++ b/kumquatloom/entry/upstream_exchange.cpp
@@ -68,7 +68,7 @@
 {
     auto const start = core::clock::now();
     state_.events.increment(entry_event::attempt_started);
-    auto lease = co_await pool.acquire(deadline_);
+    auto lease = co_await pool.acquire(call_, deadline_);
     if (lease)
         co_await exchange(lease.value());
     else
@@ -83,13 +83,19 @@
 asio::awaitable<void> upstream_exchange::exchange(upstream_pool::lease& lease)
 {
     auto& connection = lease.connection();
-    call::exchange_scope const scope(call_, connection);
+    // Closing the connection cancels the request at the upstream.
+    interruption on_cancel(
+        [&connection]
+        {
+            connection.close();
+        });
+    call_.wait_for(on_cancel);
     bool const written = co_await write(connection);
     if (!written)
         co_return;
     parser_type parser;
     bool const complete = co_await read(connection, parser);
-    if (!complete || !accept(connection, parser))
+    if (!complete || !accept(parser))
         co_return;
     // A connection is kept only after a whole exchange without leftovers.
     if (parser.keep_alive() && connection.quiet())
@@ -156,7 +162,7 @@
     co_return true;
 }
 
-bool upstream_exchange::accept(upstream_connection const&, parser_type& parser)
+bool upstream_exchange::accept(parser_type& parser)
 {
     if (core::clock::now() >= deadline_)
     {
--- a/kumquatloom/entry/upstream_exchange.hpp
+++ b/kumquatloom/entry/upstream_exchange.hpp
@@ -40,7 +40,7 @@
                                parser_type& parser);
     asio::awaitable<bool> read_body(upstream_connection& connection,
                                     parser_type& parser);
-    bool accept(upstream_connection const& connection, parser_type& parser);
+    bool accept(parser_type& parser);
     bool fail(answer_reason reason);
     answer_reason read_failure(error_code error) const;
     std::string request_head() const;
--- a/kumquatloom/entry/upstream_pool.cpp
+++ b/kumquatloom/entry/upstream_pool.cpp
@@ -1,3 +1,4 @@
+#include <kumquatloom/entry/call.hpp>
 #include <kumquatloom/entry/instance_state.hpp>
 #include <kumquatloom/entry/upstream_pool.hpp>
 
@@ -39,12 +40,13 @@
 }
 
 asio::awaitable<core::result<upstream_pool::lease, answer_reason>>
-upstream_pool::acquire(core::time_point deadline)
+upstream_pool::acquire(call& call, core::time_point deadline)
 {
     auto connection = take_idle();
     if (!connection)
     {
-        bool const granted = co_await wait_for_place(deadline, connection);
+        bool const granted =
+            co_await wait_for_place(call, deadline, connection);
         if (!granted)
             co_return answer_reason::connections_busy;
     }
@@ -53,7 +55,7 @@
         state_.events.increment(entry_event::upstream_reused);
         co_return lease(this, std::move(connection));
     }
-    co_return co_await connect(deadline);
+    co_return co_await connect(call, deadline);
 }
 
 std::unique_ptr<upstream_connection> upstream_pool::take_idle()
@@ -72,7 +74,8 @@
 }
 
 asio::awaitable<bool>
-upstream_pool::wait_for_place(core::time_point deadline,
+upstream_pool::wait_for_place(call& call,
+                              core::time_point deadline,
                               std::unique_ptr<upstream_connection>& connection)
 {
     if (open_ < limit_)
@@ -83,15 +86,27 @@
     waiter self(context_);
     waiters_.push_back(self);
     self.timer.expires_at(deadline);
+    interruption on_cancel(
+        [&self]
+        {
+            self.timer.cancel();
+        });
+    call.wait_for(on_cancel);
     co_await self.timer.async_wait(as_result);
     connection = std::move(self.connection);
     co_return self.granted;
 }
 
 asio::awaitable<core::result<upstream_pool::lease, answer_reason>>
-upstream_pool::connect(core::time_point deadline)
+upstream_pool::connect(call& call, core::time_point deadline)
 {
     lease result(this, std::make_unique<upstream_connection>(context_));
+    interruption on_cancel(
+        [&result]
+        {
+            result.connection().close();
+        });
+    call.wait_for(on_cancel);
     auto const limit =
         core::clock::now() + state_.settings.upstreams.connect_timeout;
     auto const error =
--- a/kumquatloom/entry/upstream_pool.hpp
+++ b/kumquatloom/entry/upstream_pool.hpp
@@ -21,6 +21,7 @@
 {
 
 struct instance_state;
+class call;
 
 /// The connections of one worker to one upstream, bounded in number.
 class upstream_pool
@@ -62,9 +63,9 @@
                   std::size_t limit);
 
     /// A quiet pooled connection or a new one; waits for one while all are in
-    /// use, until the deadline.
+    /// use, until the deadline or the end of the call.
     asio::awaitable<core::result<lease, answer_reason>>
-    acquire(core::time_point deadline);
+    acquire(call& call, core::time_point deadline);
 
     /// Closes idle connections that were not used since the given time, or
     /// that the upstream closed.
@@ -117,10 +118,11 @@
 
     std::unique_ptr<upstream_connection> take_idle();
     asio::awaitable<bool>
-    wait_for_place(core::time_point deadline,
+    wait_for_place(call& call,
+                   core::time_point deadline,
                    std::unique_ptr<upstream_connection>& connection);
     asio::awaitable<core::result<lease, answer_reason>>
-    connect(core::time_point deadline);
+    connect(call& call, core::time_point deadline);
     void give_back(std::unique_ptr<upstream_connection> connection);
     void release_place();
     void hand_over(std::unique_ptr<upstream_connection> connection);
