Test the entry instance against scripted upstreams and raw callers

Upstreams in the same process send scripted bytes: truncated, foreign, late, leftover, reset, refused. The operators' port now serves one request a connection, since a connection that stayed open delayed the end of the process by its timeout of 5 s.

--- a/kumquatloom/entry/operator_server.cpp
+++ b/kumquatloom/entry/operator_server.cpp
@@ -65,23 +65,17 @@
 {
     beast::tcp_stream stream(std::move(socket));
     beast::flat_buffer buffer;
-    bool more = true;
-    while (more)
-    {
-        http::request_parser<http::string_body> parser;
-        parser.body_limit(operator_body_limit);
-        stream.expires_after(operator_timeout);
-        auto const [read_error, read_size] =
-            co_await http::async_read(stream, buffer, parser, as_result);
-        if (read_error)
-            break;
-        auto response = answer(parser.get());
-        more = parser.get().keep_alive() && acceptor_.is_open();
-        response.keep_alive(more);
-        auto const [write_error, write_size] =
-            co_await http::async_write(stream, response, as_result);
-        more = more && !write_error;
-    }
+    http::request_parser<http::string_body> parser;
+    parser.body_limit(operator_body_limit);
+    stream.expires_after(operator_timeout);
+    auto const [read_error, read_size] =
+        co_await http::async_read(stream, buffer, parser, as_result);
+    if (read_error)
+        co_return;
+    auto response = answer(parser.get());
+    // Connections that stay open would delay the end of the process.
+    response.keep_alive(false);
+    co_await http::async_write(stream, response, as_result);
     error_code ignored;
     stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
 }
--- /dev/null
+++ b/unit_tests/entry/drain_test.cpp
@@ -0,0 +1,73 @@
+#include <boost/json/parse.hpp>
+#include <boost/json/value.hpp>
+#include <catch2/catch.hpp>
+
+#include <chrono>
+#include <csignal>
+#include <string>
+#include <unit_tests/entry/entry_fixture.hpp>
+
+namespace
+{
+
+using namespace kumquatloom::unit_tests;
+
+std::size_t entries_in(received_response const& answer)
+{
+    return boost::json::parse(answer.body()).at("entries").as_array().size();
+}
+
+} // namespace
+
+// Guards against a planned stop that interrupts a request or keeps attracting
+// callers.
+TEST_CASE("an instance leaves without interrupting a request", "[entry]")
+{
+    entry_fixture fixture;
+    auto& upstream = fixture.add_upstream(
+        [](received_request const& request)
+        {
+            return raw_reply{whole_answer(request, "done"),
+                             false,
+                             false,
+                             request.target() == "/held"};
+        });
+    fixture.settings.callers.entries_ttl = std::chrono::minutes(10);
+    fixture.start();
+    fixture.instance().leave_on_signals();
+    auto const entries = request_text("GET", "/.kumquatloom/entries");
+    auto const before = fixture.ask(entries);
+    REQUIRE(before);
+    CHECK(entries_in(*before) == 1);
+
+    // One caller waits for an answer and another one is idle.
+    raw_caller waiting(fixture.instance().callers_port());
+    waiting.send(request_text("GET", "/held"));
+    raw_caller idle(fixture.instance().callers_port());
+    REQUIRE(idle.ask(request_text("GET", "/item")));
+    entry_fixture::wait_until(
+        [&]
+        {
+            return upstream.held() == 1;
+        });
+
+    CHECK(fixture.ask_operators("POST", "/drain").result_int() == 202);
+    CHECK(fixture.ask_operators("GET", "/readyz").result_int() == 503);
+
+    // It is no longer handed out, and serves who still comes.
+    auto const during = fixture.ask(entries);
+    REQUIRE(during);
+    CHECK(entries_in(*during) == 0);
+    CHECK((*during)["Connection"] == "close");
+
+    // A signal during the wait for callers ends that wait.
+    std::raise(SIGTERM);
+    // The idle connection ends; the request that runs does not.
+    CHECK(idle.ended());
+    upstream.release();
+    auto const answer = waiting.receive();
+    REQUIRE(answer);
+    CHECK(answer->body() == "done");
+    CHECK(waiting.ended());
+    fixture.instance().wait();
+}
--- /dev/null
+++ b/unit_tests/entry/entry_fixture.cpp
@@ -0,0 +1,153 @@
+#include <kumquatloom/core/digest.hpp>
+#include <kumquatloom/document/parse_document.hpp>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <catch2/catch.hpp>
+
+#include <unit_tests/entry/entry_fixture.hpp>
+#include <utility>
+
+namespace kumquatloom::unit_tests
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+/// A document with one service and routes of each repeat rule.
+std::string document_text()
+{
+    std::string const zeros(64, '0');
+    auto const digest = core::to_hex(core::as_bytes(core::sha256("secret")));
+    auto const route = [](std::string const& prefix, std::string const& more)
+    {
+        return R"({"prefix":")" + prefix +
+               R"(","service":"shop","organisations":["toys"],)" + more + "}";
+    };
+    return R"({"owners":{"platform":{"public_key_hex":")" + zeros +
+           R"("},"team":{"public_key_hex":")" + zeros +
+           R"("}},"sections":{"shop":{"owner":"team","services":{"shop":
+{"expected_upstreams":2,"floor":0.5,"slots":6,"timeout_ms":20000}},
+"organisations":{"toys":{"credential_sha256_hex":[")" +
+           digest + R"("]},"others":{"credential_sha256_hex":[")" + zeros +
+           R"("]}},"routes":[)" + route("/", R"("deadline_ms":20000)") + "," +
+           route("/short", R"("deadline_ms":50)") + "," +
+           route("/once", R"("repeat":"never","deadline_ms":20000)") +
+           R"(,{"prefix":"/secret","service":"shop","organisations":["others"]}
+]}},"fleet":{"expected_entry_instances":{"region":1}}})";
+}
+
+boost::intrusive_ptr<document::document> test_document()
+{
+    core::fault_list faults;
+    auto document = document::parse_document(document_text(), faults);
+    for (auto const& fault : faults)
+        UNSCOPED_INFO(fault);
+    REQUIRE(faults.empty());
+    return document;
+}
+
+} // namespace
+
+entry_fixture::entry_fixture()
+    : list_(context_, {"127.0.0.1", 0}, 0ms)
+{
+    settings.instance = {core::instance_id("entry-1"),
+                         core::failure_domain("domain"),
+                         core::region("region")};
+    settings.listen.callers = {"127.0.0.1", 0};
+    settings.listen.operators = {"127.0.0.1", 0};
+    settings.listen.peers = {"127.0.0.1", 0};
+    settings.platform.log = {"127.0.0.1", 0};
+    settings.platform.instances = list_.local_endpoint();
+    settings.platform.poll = 50ms;
+    settings.fleet.name = "test";
+    settings.fleet.keys = {{1, "0123456789abcdef"}};
+    settings.callers.entries_ttl = 100ms;
+}
+
+entry_fixture::~entry_fixture()
+{
+    instance_.reset();
+    context_.stop();
+    if (thread_.joinable())
+        thread_.join();
+}
+
+raw_upstream& entry_fixture::add_upstream(raw_upstream::script script)
+{
+    upstreams_.push_back(std::make_unique<raw_upstream>(std::move(script)));
+    auto& upstream = *upstreams_.back();
+    list("upstream-" + std::to_string(upstreams_.size()), upstream.port());
+    return upstream;
+}
+
+void entry_fixture::add_dead_upstream()
+{
+    // The port is bound and not listening, so that nobody else can use it.
+    static boost::asio::io_context context;
+    static boost::asio::ip::tcp::socket bound(
+        context, {boost::asio::ip::address_v4::loopback(), 0});
+    list("dead", bound.local_endpoint().port());
+}
+
+void entry_fixture::start()
+{
+    thread_ = std::thread(
+        [this]
+        {
+            context_.run();
+        });
+    instance_ = std::make_unique<entry::entry_instance>(settings, 0ms);
+    instance_->publish(test_document());
+    wait_until(
+        [this]
+        {
+            return ask_operators("GET", "/readyz").result_int() == 200;
+        });
+}
+
+std::optional<received_response> entry_fixture::ask(std::string_view request)
+{
+    raw_caller caller(instance_->callers_port());
+    return caller.ask(request);
+}
+
+received_response entry_fixture::ask_operators(std::string const& method,
+                                               std::string const& target)
+{
+    raw_caller operators(instance_->operators_port());
+    auto const answer =
+        operators.ask(method + ' ' + target + " HTTP/1.1\r\n\r\n");
+    REQUIRE(answer);
+    return *answer;
+}
+
+std::uint64_t entry_fixture::metric(std::string const& name)
+{
+    auto const page = ask_operators("GET", "/metrics").body();
+    auto const at = page.find('\n' + name + ' ');
+    REQUIRE(at != std::string::npos);
+    return std::stoull(page.substr(at + name.size() + 2));
+}
+
+void entry_fixture::wait_until(std::function<bool()> const& condition)
+{
+    while (!condition())
+        std::this_thread::sleep_for(1ms);
+}
+
+void entry_fixture::list(std::string const& id, std::uint16_t port)
+{
+    list_.upsert({{"id", id},
+                  {"kind", "upstream"},
+                  {"service", "shop"},
+                  {"host", "127.0.0.1"},
+                  {"port", port},
+                  {"failure_domain", "domain"},
+                  {"region", "region"},
+                  {"state", "live"}});
+}
+
+} // namespace kumquatloom::unit_tests
--- /dev/null
+++ b/unit_tests/entry/raw_caller.cpp
@@ -0,0 +1,75 @@
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+
+#include <unit_tests/entry/raw_caller.hpp>
+
+namespace kumquatloom::unit_tests
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+} // namespace
+
+std::string request_text(std::string_view method,
+                         std::string_view target,
+                         std::string_view body,
+                         std::string_view more_headers)
+{
+    std::string text(method);
+    text.append(" ").append(target).append(" HTTP/1.1\r\nHost: test\r\n");
+    text.append("Authorization: Bearer secret\r\n").append(more_headers);
+    if (!body.empty())
+        text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+    return text.append("\r\n").append(body);
+}
+
+raw_caller::raw_caller(std::uint16_t port)
+    : socket_(context_)
+{
+    socket_.connect({asio::ip::address_v4::loopback(), port});
+}
+
+void raw_caller::send(std::string_view bytes)
+{
+    // The other side may have refused and closed already.
+    boost::system::error_code ignored;
+    asio::write(socket_, asio::buffer(bytes), ignored);
+}
+
+std::optional<received_response> raw_caller::receive(bool without_body)
+{
+    http::response_parser<http::string_body> parser;
+    parser.skip(without_body);
+    boost::system::error_code error;
+    http::read(socket_, buffer_, parser, error);
+    if (error)
+        return std::nullopt;
+    return parser.release();
+}
+
+std::optional<received_response> raw_caller::ask(std::string_view request)
+{
+    send(request);
+    return receive();
+}
+
+bool raw_caller::ended()
+{
+    char byte = 0;
+    boost::system::error_code error;
+    return buffer_.size() == 0 &&
+           socket_.read_some(asio::buffer(&byte, 1), error) == 0;
+}
+
+void raw_caller::close()
+{
+    socket_.close();
+}
+
+} // namespace kumquatloom::unit_tests
