Add the inner protocol: messages, frame codec and transports

This adds the typed messages with explicit bounds on every field, the frame codec with replay windows and two valid keys, and the UDP and TCP transports.

Payload types of other packages (evidence, shares) are carried as bytes; peer/payload.hpp encodes and decodes them, and peer/bounded.hpp bounds their containers, which cereal does not do.

--- /dev/null
+++ b/kumquatloom/peer/destination.hpp
@@ -0,0 +1,23 @@
+#ifndef KUMQUATLOOM_PEER_DESTINATION_HPP
+#define KUMQUATLOOM_PEER_DESTINATION_HPP
+
+#include <kumquatloom/peer/traffic_counters.hpp>
+#include <kumquatloom/settings/endpoint.hpp>
+
+namespace kumquatloom::peer
+{
+
+/// Where a message is sent.
+struct destination
+{
+    /// Peers' address of the receiver.
+    settings::endpoint address;
+    /// Whether the receiver is in the sender's region, for the counters.
+    peer_scope scope = peer_scope::same_region;
+
+    friend bool operator==(destination const&, destination const&) = default;
+};
+
+} // namespace kumquatloom::peer
+
+#endif
--- /dev/null
+++ b/kumquatloom/peer/indirect_probe.hpp
@@ -0,0 +1,46 @@
+#ifndef KUMQUATLOOM_PEER_INDIRECT_PROBE_HPP
+#define KUMQUATLOOM_PEER_INDIRECT_PROBE_HPP
+
+#include <kumquatloom/core/ids.hpp>
+#include <kumquatloom/peer/bounded.hpp>
+#include <kumquatloom/peer/limits.hpp>
+#include <kumquatloom/peer/message_kind.hpp>
+
+#include <cstdint>
+#include <string>
+
+namespace kumquatloom::peer
+{
+
+/// Asks a member to probe a third one and to pass its ack on.
+struct indirect_probe
+{
+    /// Kind of this message.
+    static constexpr message_kind kind = message_kind::indirect_probe;
+
+    /// Random number that the ack repeats.
+    std::uint64_t nonce = 0;
+    /// The member to probe.
+    core::instance_id target;
+    /// The newest incarnation of the target that the sender knows of.
+    core::incarnation target_incarnation = 0;
+    /// Peer address of the target, used if the receiver does not know it.
+    std::string target_address;
+
+    /// cereal's entry point.
+    template <typename Archive>
+    void serialize(Archive& archive)
+    {
+        archive(nonce,
+                bounded<max_name_bytes>(target),
+                target_incarnation,
+                bounded<max_address_bytes>(target_address));
+    }
+
+    friend bool operator==(indirect_probe const&,
+                           indirect_probe const&) = default;
+};
+
+} // namespace kumquatloom::peer
+
+#endif
--- /dev/null
+++ b/kumquatloom/peer/message_kind.hpp
@@ -0,0 +1,50 @@
+#ifndef KUMQUATLOOM_PEER_MESSAGE_KIND_HPP
+#define KUMQUATLOOM_PEER_MESSAGE_KIND_HPP
+
+#include <cstdint>
+#include <string_view>
+
+namespace kumquatloom::peer
+{
+
+/// Kinds of messages of the inner protocol. The values are part of the wire
+/// format: new kinds are added at the end.
+enum class message_kind : std::uint8_t
+{
+    heartbeat,
+    probe,
+    indirect_probe,
+    ack,
+    evidence,
+    leaving,
+    upstream_leaving,
+    cell_digest,
+    sync_request,
+    sync_response,
+    share_request,
+    share_grant,
+    count
+};
+
+/// How a message travels.
+enum class channel : std::uint8_t
+{
+    /// One UDP datagram.
+    datagram,
+    /// A TCP connection.
+    stream
+};
+
+/// The channel on which messages of a kind are accepted.
+constexpr channel channel_of(message_kind kind)
+{
+    return kind < message_kind::sync_request ? channel::datagram
+                                             : channel::stream;
+}
+
+/// Name of a kind, used as a metric label.
+std::string_view to_string(message_kind kind);
+
+} // namespace kumquatloom::peer
+
+#endif
--- /dev/null
+++ b/kumquatloom/peer/probe.hpp
@@ -0,0 +1,40 @@
+#ifndef KUMQUATLOOM_PEER_PROBE_HPP
+#define KUMQUATLOOM_PEER_PROBE_HPP
+
+#include <kumquatloom/core/ids.hpp>
+#include <kumquatloom/peer/bounded.hpp>
+#include <kumquatloom/peer/limits.hpp>
+#include <kumquatloom/peer/message_kind.hpp>
+
+#include <cstdint>
+
+namespace kumquatloom::peer
+{
+
+/// Asks a member for an ack.
+struct probe
+{
+    /// Kind of this message.
+    static constexpr message_kind kind = message_kind::probe;
+
+    /// Random number that the ack repeats.
+    std::uint64_t nonce = 0;
+    /// The member that is asked.
+    core::instance_id target;
+    /// The newest incarnation of the target that the sender knows of. A
+    /// target with a lower one learns from it that its own is outdated.
+    core::incarnation target_incarnation = 0;
+
+    /// cereal's entry point.
+    template <typename Archive>
+    void serialize(Archive& archive)
+    {
+        archive(nonce, bounded<max_name_bytes>(target), target_incarnation);
+    }
+
+    friend bool operator==(probe const&, probe const&) = default;
+};
+
+} // namespace kumquatloom::peer
+
+#endif
--- /dev/null
+++ b/kumquatloom/peer/sync_request.hpp
@@ -0,0 +1,39 @@
+#ifndef KUMQUATLOOM_PEER_SYNC_REQUEST_HPP
+#define KUMQUATLOOM_PEER_SYNC_REQUEST_HPP
+
+#include <kumquatloom/core/ids.hpp>
+#include <kumquatloom/peer/message_kind.hpp>
+
+#include <cstdint>
+
+namespace kumquatloom::peer
+{
+
+/// Asks a peer for the records after an offset, or for part of a snapshot.
+struct sync_request
+{
+    /// Kind of this message.
+    static constexpr message_kind kind = message_kind::sync_request;
+
+    /// Random number that the response repeats.
+    std::uint64_t nonce = 0;
+    /// First offset that the sender lacks.
+    core::log_offset from = 0;
+    /// Offset of the snapshot that is being fetched; 0 if there is none.
+    core::log_offset snapshot_offset = 0;
+    /// Bytes of that snapshot that the sender has.
+    std::uint64_t snapshot_position = 0;
+
+    /// cereal's entry point.
+    template <typename Archive>
+    void serialize(Archive& archive)
+    {
+        archive(nonce, from, snapshot_offset, snapshot_position);
+    }
+
+    friend bool operator==(sync_request const&, sync_request const&) = default;
+};
+
+} // namespace kumquatloom::peer
+
+#endif
--- /dev/null
+++ b/kumquatloom/peer/sync_response.hpp
@@ -0,0 +1,62 @@
+#ifndef KUMQUATLOOM_PEER_SYNC_RESPONSE_HPP
+#define KUMQUATLOOM_PEER_SYNC_RESPONSE_HPP
+
+#include <kumquatloom/core/ids.hpp>
+#include <kumquatloom/peer/bounded.hpp>
+#include <kumquatloom/peer/limits.hpp>
+#include <kumquatloom/peer/message_kind.hpp>
+#include <kumquatloom/peer/sync_record.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace kumquatloom::peer
+{
+
+/// Carries records, or one part of a snapshot. With nonce 0 it is a push that
+/// nobody asked for; a push must not be used to renew the freshness, because
+/// the receiver has no send time of its own to count the age from.
+struct sync_response
+{
+    /// Kind of this message.
+    static constexpr message_kind kind = message_kind::sync_response;
+
+    /// Number of the request; 0 for a push.
+    std::uint64_t nonce = 0;
+    /// Offset of the sender's last reduced record.
+    core::log_offset state_offset = 0;
+    /// First 8 bytes of the sender's chain digest.
+    std::uint64_t chain_digest = 0;
+    /// Age of the sender's freshness when it sent this.
+    std::chrono::milliseconds freshness_age{0};
+    /// Records in the order of the log.
+    std::vector<sync_record> records;
+    /// Offset of the snapshot that the part belongs to; 0 if there is none.
+    core::log_offset snapshot_offset = 0;
+    /// Size of the whole snapshot.
+    std::uint64_t snapshot_size = 0;
+    /// Position of the part in the snapshot.
+    std::uint64_t snapshot_position = 0;
+    /// Bytes of the part.
+    std::string snapshot_part;
+
+    /// cereal's entry point.
+    template <typename Archive>
+    void serialize(Archive& archive)
+    {
+        archive(nonce, state_offset, chain_digest);
+        archive(wire_milliseconds(freshness_age));
+        archive(bounded<max_sync_records>(records));
+        archive(snapshot_offset, snapshot_size, snapshot_position);
+        archive(bounded<max_record_bytes>(snapshot_part));
+    }
+
+    friend bool operator==(sync_response const&,
+                           sync_response const&) = default;
+};
+
+} // namespace kumquatloom::peer
+
+#endif
