Add admission of requests

An instance has to decide which requests it serves before anything else runs. Package admission checks headers, credentials and routes without I/O and without a lock; package request gets the types of outcomes, attempts and tickets, and package limits the retry budget.

The header check reads all fields itself, so that it does not depend on what the HTTP parser tolerates, and refuses targets that an upstream could normalise into another route. Several routes with one prefix are alternatives. A request with a ticket is never refused as not-run, because it may be a resend of one that was run.

--- /dev/null
+++ b/kumquatloom/admission/admission_table.hpp
@@ -0,0 +1,57 @@
+#ifndef KUMQUATLOOM_ADMISSION_ADMISSION_TABLE_HPP
+#define KUMQUATLOOM_ADMISSION_ADMISSION_TABLE_HPP
+
+#include <kumquatloom/admission/authenticator.hpp>
+#include <kumquatloom/admission/route_table.hpp>
+#include <kumquatloom/core/ids.hpp>
+#include <kumquatloom/document/document.hpp>
+
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
+
+namespace kumquatloom::admission
+{
+
+/// What one document says about who may do what. Does not change after
+/// construction.
+class admission_table : public boost::intrusive_ref_counter<admission_table>
+{
+public:
+    /// Indexes a document as seen from one region.
+    admission_table(document::document const& source,
+                    core::region const& region)
+        : version_(source.version)
+        , authenticator_(source.organisations)
+        , routes_(source, authenticator_, region)
+    {
+    }
+
+    /// Version of the document.
+    core::log_offset version() const
+    {
+        return version_;
+    }
+
+    /// The organisations' credentials.
+    authenticator const& organisations() const
+    {
+        return authenticator_;
+    }
+
+    /// The routes.
+    route_table const& routes() const
+    {
+        return routes_;
+    }
+
+private:
+    /// Version of the document.
+    core::log_offset version_;
+    /// The organisations' credentials.
+    authenticator authenticator_;
+    /// The routes.
+    route_table routes_;
+};
+
+} // namespace kumquatloom::admission
+
+#endif
--- /dev/null
+++ b/kumquatloom/admission/authenticator.cpp
@@ -0,0 +1,164 @@
+#include <kumquatloom/admission/authenticator.hpp>
+#include <kumquatloom/request/header_field.hpp>
+
+#include <algorithm>
+#include <bit>
+
+namespace kumquatloom::admission
+{
+
+namespace
+{
+
+constexpr std::string_view scheme = "Bearer ";
+/// Bounds the work for a made-up credential.
+constexpr std::size_t max_secret_bytes = 1024;
+/// Credentials of one bucket on average, which take five cache lines.
+constexpr std::size_t credentials_per_bucket = 8;
+/// The first four bytes address the index.
+constexpr unsigned max_bucket_bits = 24;
+
+bool is_secret_character(char letter)
+{
+    constexpr std::string_view others = "-._~+/=";
+    return (letter >= 'a' && letter <= 'z') ||
+           (letter >= 'A' && letter <= 'Z') ||
+           (letter >= '0' && letter <= '9') ||
+           others.find(letter) != others.npos;
+}
+
+/// The secret of a bearer credential; empty if it is malformed.
+std::string_view bearer_secret(std::string_view authorization)
+{
+    if (authorization.size() <= scheme.size() ||
+        !request::same_name(authorization.substr(0, scheme.size()), scheme))
+        return {};
+    auto const secret = authorization.substr(scheme.size());
+    bool const valid =
+        secret.size() <= max_secret_bytes &&
+        std::all_of(secret.begin(), secret.end(), is_secret_character);
+    return valid ? secret : std::string_view();
+}
+
+} // namespace
+
+authenticator::authenticator(
+    std::map<core::organisation_name, document::organisation_settings> const&
+        organisations)
+{
+    std::size_t count = 0;
+    for (auto const& [name, organisation] : organisations)
+        count += organisation.credentials.size();
+    credentials_.reserve(count);
+    for (auto const& [name, organisation] : organisations)
+    {
+        auto const index = names_.add(name.value());
+        for (auto const& digest : organisation.credentials)
+            credentials_.push_back({digest, index});
+    }
+    names_.shrink();
+    std::sort(credentials_.begin(),
+              credentials_.end(),
+              [](credential const& left, credential const& right)
+              {
+                  return left.digest < right.digest;
+              });
+    drop_ambiguous();
+    build_index();
+}
+
+core::result<organisation_index, refusal_reason>
+authenticator::authenticate(std::optional<std::string_view> authorization) const
+{
+    if (!authorization)
+        return core::failure(refusal_reason::no_credential);
+    auto const secret = bearer_secret(*authorization);
+    if (secret.empty())
+        return core::failure(refusal_reason::unknown_credential);
+    auto const digest = core::sha256(secret);
+    auto const first = bucket(digest);
+    // All candidates are compared, so that the position of a match does not
+    // change the time.
+    credential const* found = nullptr;
+    for (auto i = buckets_[first]; i < buckets_[first + 1]; ++i)
+        if (core::constant_time_equal(core::as_bytes(credentials_[i].digest),
+                                      core::as_bytes(digest)))
+            found = &credentials_[i];
+    if (found == nullptr)
+        return core::failure(refusal_reason::unknown_credential);
+    return core::success(organisation_index{found->organisation});
+}
+
+std::optional<organisation_index>
+authenticator::find(core::organisation_name const& name) const
+{
+    std::uint32_t low = 0;
+    auto high = static_cast<std::uint32_t>(names_.size());
+    while (low < high)
+    {
+        auto const middle = low + (high - low) / 2;
+        if (names_.at(middle) < name.value())
+            low = middle + 1;
+        else
+            high = middle;
+    }
+    if (low == names_.size() || names_.at(low) != name.value())
+        return std::nullopt;
+    return organisation_index{low};
+}
+
+std::size_t authenticator::memory() const
+{
+    return names_.memory() + credentials_.capacity() * sizeof(credential) +
+           buckets_.capacity() * sizeof(std::uint32_t);
+}
+
+void authenticator::drop_ambiguous()
+{
+    auto target = credentials_.begin();
+    for (auto group = credentials_.begin(); group != credentials_.end();)
+    {
+        auto const end = std::find_if(group,
+                                      credentials_.end(),
+                                      [&](credential const& item)
+                                      {
+                                          return item.digest != group->digest;
+                                      });
+        bool const same_owner =
+            std::all_of(group,
+                        end,
+                        [&](credential const& item)
+                        {
+                            return item.organisation == group->organisation;
+                        });
+        if (same_owner)
+            *target++ = *group;
+        else
+            ++ambiguous_;
+        group = end;
+    }
+    credentials_.erase(target, credentials_.end());
+    credentials_.shrink_to_fit();
+}
+
+void authenticator::build_index()
+{
+    while (bucket_bits_ < max_bucket_bits &&
+           (credentials_per_bucket << bucket_bits_) < credentials_.size())
+        ++bucket_bits_;
+    buckets_.assign((std::size_t(1) << bucket_bits_) + 1, 0);
+    for (auto const& item : credentials_)
+        ++buckets_[bucket(item.digest) + 1];
+    for (std::size_t i = 1; i < buckets_.size(); ++i)
+        buckets_[i] += buckets_[i - 1];
+}
+
+std::size_t authenticator::bucket(core::sha256_digest const& digest) const
+{
+    std::uint64_t bits = 0;
+    for (std::size_t i = 0; i < 4; ++i)
+        bits = bits << 8U | digest[i];
+    return static_cast<std::size_t>(bits >> (32U - bucket_bits_));
+}
+
+} // namespace kumquatloom::admission
--- /dev/null
+++ b/kumquatloom/admission/route_table.cpp
@@ -0,0 +1,186 @@
+#include <kumquatloom/admission/route_table.hpp>
+#include <kumquatloom/core/hashing.hpp>
+
+#include <algorithm>
+#include <bit>
+#include <map>
+
+namespace kumquatloom::admission
+{
+
+namespace
+{
+
+constexpr std::uint32_t no_route = UINT32_MAX;
+
+/// A prefix without slashes at its end, so that `/a` and `/a/` are the same.
+std::string_view without_last_slash(std::string_view prefix)
+{
+    while (!prefix.empty() && prefix.back() == '/')
+        prefix.remove_suffix(1);
+    return prefix;
+}
+
+std::size_t segments_of(std::string_view prefix)
+{
+    return static_cast<std::size_t>(
+        std::count(prefix.begin(), prefix.end(), '/'));
+}
+
+/// The first segments of a path, each with the slash before it.
+std::string_view first_segments(std::string_view path, std::size_t count)
+{
+    std::size_t end = 0;
+    for (; count > 0 && end < path.size(); --count)
+        end = std::min(path.find('/', end + 1), path.size());
+    return path.substr(0, end);
+}
+
+} // namespace
+
+route_table::route_table(document::document const& source,
+                         authenticator const& organisations,
+                         core::region const& region)
+{
+    std::map<core::service_name, std::uint32_t> service_indexes;
+    routes_.reserve(source.routes.size());
+    for (auto const& settings : source.routes)
+    {
+        auto const [place, added] =
+            service_indexes.try_emplace(settings.service, 0);
+        if (added)
+            place->second = services_.add(settings.service.value());
+        auto const service = source.services.find(settings.service);
+        auto const timeout = service == source.services.end()
+                                 ? settings.deadline
+                                 : service->second.timeout;
+        add(settings,
+            place->second,
+            static_cast<std::uint32_t>(timeout.count()),
+            organisations,
+            region);
+    }
+    prefixes_.shrink();
+    organisations_.shrink_to_fit();
+    build_index();
+}
+
+core::result<matched_route, refusal_reason>
+route_table::match(std::string_view path, organisation_index organisation) const
+{
+    auto prefix = without_last_slash(first_segments(path, max_segments_));
+    while (true)
+    {
+        auto const first = find(prefix);
+        if (first != no_route)
+            return pick(first, organisation);
+        if (prefix.empty())
+            return core::failure(refusal_reason::unknown_path);
+        prefix = without_last_slash(prefix.substr(0, prefix.rfind('/')));
+    }
+}
+
+std::size_t route_table::memory() const
+{
+    return routes_.capacity() * sizeof(route) + prefixes_.memory() +
+           services_.memory() +
+           (organisations_.capacity() + slots_.capacity()) *
+               sizeof(std::uint32_t);
+}
+
+void route_table::add(document::route_settings const& settings,
+                      std::uint32_t service,
+                      std::uint32_t timeout_ms,
+                      authenticator const& organisations,
+                      core::region const& region)
+{
+    route item;
+    item.service = service;
+    item.limit_per_s = settings.limit_per_s;
+    item.deadline_ms = static_cast<std::uint32_t>(settings.deadline.count());
+    item.timeout_ms = timeout_ms;
+    item.next = no_route;
+    item.repeat = settings.repeat;
+    item.region_permitted =
+        settings.regions.empty() ||
+        std::find(settings.regions.begin(), settings.regions.end(), region) !=
+            settings.regions.end();
+    item.first_organisation = static_cast<std::uint32_t>(organisations_.size());
+    for (auto const& name : settings.organisations)
+        if (auto const index = organisations.find(name))
+            organisations_.push_back(static_cast<std::uint32_t>(*index));
+    std::sort(organisations_.begin() + item.first_organisation,
+              organisations_.end());
+    item.last_organisation = static_cast<std::uint32_t>(organisations_.size());
+    auto const prefix = without_last_slash(settings.prefix);
+    prefixes_.add(prefix);
+    max_segments_ = std::max(max_segments_, segments_of(prefix));
+    routes_.push_back(item);
+}
+
+void route_table::build_index()
+{
+    // At most half of the slots are used, so that probing ends soon.
+    slots_.assign(std::bit_ceil(2 * routes_.size() + 1), no_route);
+    for (std::uint32_t i = 0; i < routes_.size(); ++i)
+    {
+        auto const slot = slot_of(prefixes_.at(i));
+        if (slots_[slot] == no_route)
+        {
+            slots_[slot] = i;
+            continue;
+        }
+        auto last = slots_[slot];
+        while (routes_[last].next != no_route)
+            last = routes_[last].next;
+        routes_[last].next = i;
+    }
+}
+
+std::size_t route_table::slot_of(std::string_view prefix) const
+{
+    auto const mask = slots_.size() - 1;
+    auto slot = core::stable_hash(prefix) & mask;
+    while (slots_[slot] != no_route && prefixes_.at(slots_[slot]) != prefix)
+        slot = (slot + 1) & mask;
+    return slot;
+}
+
+std::uint32_t route_table::find(std::string_view prefix) const
+{
+    return slots_[slot_of(prefix)];
+}
+
+core::result<matched_route, refusal_reason>
+route_table::pick(std::uint32_t first, organisation_index organisation) const
+{
+    // The organisation's own reason is told only if it may use the route.
+    auto reason = refusal_reason::organisation_not_permitted;
+    for (auto index = first; index != no_route; index = routes_[index].next)
+    {
+        auto const& item = routes_[index];
+        if (!permits(item, organisation))
+            continue;
+        if (item.region_permitted)
+            return core::success(
+                matched_route{index,
+                              prefixes_.at(index),
+                              services_.at(item.service),
+                              item.repeat,
+                              item.limit_per_s,
+                              std::chrono::milliseconds(item.deadline_ms),
+                              std::chrono::milliseconds(item.timeout_ms)});
+        reason = refusal_reason::region_not_permitted;
+    }
+    return core::failure(reason);
+}
+
+bool route_table::permits(route const& item,
+                          organisation_index organisation) const
+{
+    return std::binary_search(organisations_.begin() + item.first_organisation,
+                              organisations_.begin() + item.last_organisation,
+                              static_cast<std::uint32_t>(organisation));
+}
+
+} // namespace kumquatloom::admission
--- /dev/null
+++ b/kumquatloom/admission/route_table.hpp
@@ -0,0 +1,121 @@
+#ifndef KUMQUATLOOM_ADMISSION_ROUTE_TABLE_HPP
+#define KUMQUATLOOM_ADMISSION_ROUTE_TABLE_HPP
+
+#include <kumquatloom/admission/authenticator.hpp>
+#include <kumquatloom/admission/refusal_reason.hpp>
+#include <kumquatloom/admission/text_pool.hpp>
+#include <kumquatloom/core/ids.hpp>
+#include <kumquatloom/core/result.hpp>
+#include <kumquatloom/document/document.hpp>
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <string_view>
+#include <vector>
+
+namespace kumquatloom::admission
+{
+
+/// The route that answers a request. The views point into the route table.
+struct matched_route
+{
+    /// Number of the route within its document.
+    std::uint32_t index = 0;
+    /// Path prefix without a slash at its end; empty for the root.
+    std::string_view prefix;
+    /// The service that answers.
+    std::string_view service;
+    /// Which requests may be repeated.
+    document::repeat_rule repeat = document::repeat_rule::by_method;
+    /// Requests a second for each organisation, 0 for no limit.
+    std::uint32_t limit_per_s = 0;
+    /// Deadline of requests that bring none.
+    std::chrono::milliseconds deadline{0};
+    /// Longest time that one attempt may take.
+    std::chrono::milliseconds attempt_timeout{0};
+};
+
+/// Finds the route of a path as seen from one region. The longest prefix that
+/// ends at a segment boundary wins, even if a shorter one would permit the
+/// request. Routes with the same prefix are alternatives: the first one that
+/// permits the request answers it. Does not change after construction.
+class route_table
+{
+public:
+    /// Indexes the routes of a document for the region of this instance.
+    route_table(document::document const& source,
+                authenticator const& organisations,
+                core::region const& region);
+
+    /// The route for a path, without the query, and an organisation.
+    core::result<matched_route, refusal_reason>
+    match(std::string_view path, organisation_index organisation) const;
+
+    /// Number of routes.
+    std::size_t size() const
+    {
+        return routes_.size();
+    }
+
+    /// Bytes of memory in use.
+    std::size_t memory() const;
+
+private:
+    /// One route.
+    struct route
+    {
+        /// The first permitted organisation in `organisations_`, and the end.
+        std::uint32_t first_organisation = 0;
+        std::uint32_t last_organisation = 0;
+        /// Index of the service's name.
+        std::uint32_t service = 0;
+        /// Requests a second for each organisation, 0 for no limit.
+        std::uint32_t limit_per_s = 0;
+        /// Deadline in milliseconds.
+        std::uint32_t deadline_ms = 0;
+        /// Longest time of one attempt in milliseconds.
+        std::uint32_t timeout_ms = 0;
+        /// The next route with the same prefix, or no_route.
+        std::uint32_t next = 0;
+        /// Which requests may be repeated.
+        document::repeat_rule repeat = document::repeat_rule::by_method;
+        /// Whether the route may be used in this region.
+        bool region_permitted = false;
+    };
+
+    /// Adds one route with its permissions.
+    void add(document::route_settings const& settings,
+             std::uint32_t service,
+             std::uint32_t timeout_ms,
+             authenticator const& organisations,
+             core::region const& region);
+    /// Links the routes into the hash table.
+    void build_index();
+    /// The slot of a prefix, which is empty if no route has it.
+    std::size_t slot_of(std::string_view prefix) const;
+    /// The first route of a prefix, or no_route.
+    std::uint32_t find(std::string_view prefix) const;
+    /// Picks among the routes of one prefix.
+    core::result<matched_route, refusal_reason>
+    pick(std::uint32_t first, organisation_index organisation) const;
+    /// Whether a route permits an organisation.
+    bool permits(route const& item, organisation_index organisation) const;
+
+    /// All routes in the order of the document.
+    std::vector<route> routes_;
+    /// Prefixes by route.
+    text_pool prefixes_;
+    /// Names of the services.
+    text_pool services_;
+    /// Permitted organisations of all routes, sorted for each route.
+    std::vector<std::uint32_t> organisations_;
+    /// Hash table with open addressing: the first route of each prefix.
+    std::vector<std::uint32_t> slots_;
+    /// Segments of the longest prefix; longer paths are not searched deeper.
+    std::size_t max_segments_ = 0;
+};
+
+} // namespace kumquatloom::admission
+
+#endif
--- /dev/null
+++ b/kumquatloom/admission/text_pool.hpp
@@ -0,0 +1,61 @@
+#ifndef KUMQUATLOOM_ADMISSION_TEXT_POOL_HPP
+#define KUMQUATLOOM_ADMISSION_TEXT_POOL_HPP
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace kumquatloom::admission
+{
+
+/// Many short texts in one block of memory; a std::string for each would take
+/// 32 bytes more. Texts have indexes from 0 in the order of addition.
+class text_pool
+{
+public:
+    /// Adds a text and returns its index.
+    std::uint32_t add(std::string_view text)
+    {
+        bytes_.append(text);
+        ends_.push_back(static_cast<std::uint32_t>(bytes_.size()));
+        return static_cast<std::uint32_t>(ends_.size() - 1);
+    }
+
+    /// The text of an index.
+    std::string_view at(std::uint32_t index) const
+    {
+        std::size_t const begin = index == 0 ? 0 : ends_[index - 1];
+        return std::string_view(bytes_).substr(begin, ends_[index] - begin);
+    }
+
+    /// Number of texts.
+    std::size_t size() const
+    {
+        return ends_.size();
+    }
+
+    /// Gives back memory that was reserved for growth.
+    void shrink()
+    {
+        bytes_.shrink_to_fit();
+        ends_.shrink_to_fit();
+    }
+
+    /// Bytes of memory in use.
+    std::size_t memory() const
+    {
+        return bytes_.capacity() + ends_.capacity() * sizeof(std::uint32_t);
+    }
+
+private:
+    /// All texts, one after the other.
+    std::string bytes_;
+    /// The end of each text.
+    std::vector<std::uint32_t> ends_;
+};
+
+} // namespace kumquatloom::admission
+
+#endif
--- /dev/null
+++ b/kumquatloom/request/answer_check.cpp
@@ -0,0 +1,102 @@
+#include <kumquatloom/core/digest.hpp>
+#include <kumquatloom/request/answer_check.hpp>
+#include <kumquatloom/request/content_digest.hpp>
+#include <kumquatloom/request/header_names.hpp>
+
+#include <charconv>
+#include <cstdint>
+#include <optional>
+
+namespace kumquatloom::request
+{
+
+namespace
+{
+
+constexpr unsigned status_no_content = 204;
+constexpr unsigned status_not_modified = 304;
+constexpr unsigned status_unavailable = 503;
+
+/// The number in a Content-Length field; digits only.
+std::optional<std::uint64_t> parse_length(std::string_view text)
+{
+    std::uint64_t number = 0;
+    auto const* const end = text.data() + text.size();
+    auto const read = std::from_chars(text.data(), end, number);
+    if (text.empty() || read.ec != std::errc() || read.ptr != end)
+        return std::nullopt;
+    return number;
+}
+
+answer_verdict check_id(answer_facts const& answer,
+                        core::request_id const& expected)
+{
+    auto const count = count_fields(answer.fields, header_names::request_id);
+    if (count == 0)
+        return answer_verdict::missing_request_id;
+    auto const echoed = find_field(answer.fields, header_names::request_id);
+    if (count > 1 || expected.empty() || *echoed != expected.value())
+        return answer_verdict::wrong_request_id;
+    return answer_verdict::verified;
+}
+
+/// Whether the protocol gives the answer a body.
+bool has_body(answer_facts const& answer)
+{
+    return !answer.to_head && answer.status != status_no_content &&
+           answer.status != status_not_modified;
+}
+
+answer_verdict check_length(answer_facts const& answer)
+{
+    if (!has_body(answer))
+        return answer.body.empty() ? answer_verdict::verified
+                                   : answer_verdict::wrong_length;
+    auto const count = count_fields(answer.fields, "Content-Length");
+    if (count == 0)
+        return answer_verdict::missing_length;
+    auto const length =
+        parse_length(*find_field(answer.fields, "Content-Length"));
+    if (count > 1 || !length || *length != answer.body.size())
+        return answer_verdict::wrong_length;
+    return answer_verdict::verified;
+}
+
+answer_verdict check_digest(answer_facts const& answer)
+{
+    auto const count = count_fields(answer.fields, "Content-Digest");
+    if (count == 0 || !has_body(answer))
+        return answer_verdict::verified;
+    auto const stated =
+        parse_content_digest(*find_field(answer.fields, "Content-Digest"));
+    if (count > 1 || !stated)
+        return answer_verdict::malformed_digest;
+    // Only another algorithm was used, which is not verified.
+    if (!stated->sha256)
+        return answer_verdict::verified;
+    auto const actual = core::sha256(answer.body);
+    return core::constant_time_equal(core::as_bytes(actual),
+                                     core::as_bytes(*stated->sha256))
+               ? answer_verdict::verified
+               : answer_verdict::wrong_digest;
+}
+
+} // namespace
+
+answer_verdict check_answer(answer_facts const& answer,
+                            core::request_id const& expected)
+{
+    for (auto const verdict : {check_id(answer, expected),
+                               check_length(answer),
+                               check_digest(answer)})
+        if (verdict != answer_verdict::verified)
+            return verdict;
+    // Only a verified answer may prove that the request was not run.
+    auto const stated = find_field(answer.fields, header_names::outcome);
+    bool const refused =
+        answer.status == status_unavailable && stated == "not-run" &&
+        count_fields(answer.fields, header_names::outcome) == 1;
+    return refused ? answer_verdict::refused : answer_verdict::verified;
+}
+
+} // namespace kumquatloom::request
--- /dev/null
+++ b/kumquatloom/request/answer_check.hpp
@@ -0,0 +1,35 @@
+#ifndef KUMQUATLOOM_REQUEST_ANSWER_CHECK_HPP
+#define KUMQUATLOOM_REQUEST_ANSWER_CHECK_HPP
+
+#include <kumquatloom/core/ids.hpp>
+#include <kumquatloom/request/answer_verdict.hpp>
+#include <kumquatloom/request/header_field.hpp>
+
+#include <span>
+#include <string_view>
+
+namespace kumquatloom::request
+{
+
+/// A complete answer of an upstream, as it was read.
+struct answer_facts
+{
+    /// Whether the request was a HEAD request, whose answer has no body.
+    bool to_head = false;
+    /// Status code.
+    unsigned status = 0;
+    /// Header fields in order.
+    std::span<header_field const> fields;
+    /// The bytes of the body that were read.
+    std::string_view body;
+};
+
+/// Verifies that an answer belongs to the request and is complete: the request
+/// id is echoed once, the length is stated and equals the body, and a SHA-256
+/// content digest (RFC 9530) matches when there is one.
+answer_verdict check_answer(answer_facts const& answer,
+                            core::request_id const& expected);
+
+} // namespace kumquatloom::request
+
+#endif
--- /dev/null
+++ b/kumquatloom/request/attempt_state.cpp
@@ -0,0 +1,116 @@
+#include <kumquatloom/request/attempt_state.hpp>
+
+#include <boost/assert.hpp>
+
+#include <algorithm>
+
+namespace kumquatloom::request
+{
+
+attempt_state::attempt_state(idempotency repeat, deadline until)
+    : repeat_(repeat)
+    , until_(until)
+{
+}
+
+std::size_t attempt_state::start(core::time_point now)
+{
+    attempts_.push_back({now});
+    return attempts_.size() - 1;
+}
+
+bool attempt_state::may_write(std::size_t attempt, core::time_point now)
+{
+    BOOST_ASSERT(attempt < attempts_.size());
+    auto& record = attempts_[attempt];
+    if (!record.running || until_.passed(now))
+        return false;
+    if (repeat_ != idempotency::idempotent && another_may_have_run(attempt))
+        return false;
+    record.sent = sent_state::written;
+    return true;
+}
+
+void attempt_state::refused(std::size_t attempt)
+{
+    BOOST_ASSERT(attempt < attempts_.size());
+    auto& record = attempts_[attempt];
+    // A refusal answers something that was written by a running attempt.
+    if (record.running && record.sent == sent_state::written)
+        record.sent = sent_state::refused_by_upstream;
+    failed(attempt, retry_reason::refused);
+}
+
+void attempt_state::failed(std::size_t attempt, retry_reason reason)
+{
+    BOOST_ASSERT(attempt < attempts_.size());
+    if (!attempts_[attempt].running)
+        return;
+    attempts_[attempt].running = false;
+    last_failure_ = reason;
+}
+
+void attempt_state::cancelled(std::size_t attempt)
+{
+    BOOST_ASSERT(attempt < attempts_.size());
+    attempts_[attempt].running = false;
+}
+
+void attempt_state::completed(std::size_t attempt)
+{
+    BOOST_ASSERT(attempt < attempts_.size());
+    BOOST_ASSERT(attempts_[attempt].sent == sent_state::written);
+    attempts_[attempt].running = false;
+    completed_ = true;
+}
+
+std::size_t attempt_state::running() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(attempts_.begin(),
+                      attempts_.end(),
+                      [](attempt_record const& record)
+                      {
+                          return record.running;
+                      }));
+}
+
+core::time_point attempt_state::started(std::size_t attempt) const
+{
+    BOOST_ASSERT(attempt < attempts_.size());
+    return attempts_[attempt].started;
+}
+
+sent_state attempt_state::sent(std::size_t attempt) const
+{
+    BOOST_ASSERT(attempt < attempts_.size());
+    return attempts_[attempt].sent;
+}
+
+bool attempt_state::proven_not_run() const
+{
+    return std::all_of(attempts_.begin(),
+                       attempts_.end(),
+                       [](attempt_record const& record)
+                       {
+                           return !record.running &&
+                                  proves_not_run(record.sent);
+                       });
+}
+
+outcome attempt_state::final_outcome() const
+{
+    if (completed_)
+        return outcome::completed;
+    return proven_not_run() ? outcome::not_run : outcome::unknown;
+}
+
+bool attempt_state::another_may_have_run(std::size_t attempt) const
+{
+    for (std::size_t i = 0; i < attempts_.size(); ++i)
+        if (i != attempt && !proves_not_run(attempts_[i].sent))
+            return true;
+    return false;
+}
+
+} // namespace kumquatloom::request
--- /dev/null
+++ b/kumquatloom/request/content_digest.cpp
@@ -0,0 +1,82 @@
+#include <kumquatloom/request/content_digest.hpp>
+
+#include <algorithm>
+#include <cstring>
+#include <vector>
+
+namespace kumquatloom::request
+{
+
+namespace
+{
+
+bool is_key_character(char letter)
+{
+    return (letter >= 'a' && letter <= 'z') ||
+           (letter >= '0' && letter <= '9') || letter == '-' || letter == '_' ||
+           letter == '.' || letter == '*';
+}
+
+bool is_key(std::string_view text)
+{
+    return !text.empty() && (text.front() < '0' || text.front() > '9') &&
+           std::all_of(text.begin(), text.end(), is_key_character);
+}
+
+std::string_view trimmed(std::string_view text)
+{
+    while (!text.empty() && (text.front() == ' ' || text.front() == '\t'))
+        text.remove_prefix(1);
+    while (!text.empty() && (text.back() == ' ' || text.back() == '\t'))
+        text.remove_suffix(1);
+    return text;
+}
+
+/// The bytes between two colons. Decoding and encoding again must give the
+/// same text, which refuses padding in the middle and stray bits.
+std::optional<std::string> parse_bytes(std::string_view text)
+{
+    if (text.size() < 2 || text.front() != ':' || text.back() != ':')
+        return std::nullopt;
+    auto const encoded = text.substr(1, text.size() - 2);
+    auto bytes = core::from_base64(encoded);
+    if (!bytes || core::to_base64(*bytes) != encoded)
+        return std::nullopt;
+    return bytes;
+}
+
+} // namespace
+
+std::optional<content_digest> parse_content_digest(std::string_view text)
+{
+    content_digest result;
+    std::vector<std::string_view> keys;
+    while (true)
+    {
+        // Base64 has no comma, so that every comma separates two members.
+        auto const comma = text.find(',');
+        auto const member = trimmed(text.substr(0, comma));
+        auto const equals = member.find('=');
+        if (equals == std::string_view::npos)
+            return std::nullopt;
+        auto const key = member.substr(0, equals);
+        auto const bytes = parse_bytes(member.substr(equals + 1));
+        bool const repeated =
+            std::find(keys.begin(), keys.end(), key) != keys.end();
+        if (!is_key(key) || !bytes || repeated)
+            return std::nullopt;
+        keys.push_back(key);
+        if (key == "sha-256")
+        {
+            if (bytes->size() != sizeof(core::sha256_digest))
+                return std::nullopt;
+            std::memcpy(
+                result.sha256.emplace().data(), bytes->data(), bytes->size());
+        }
+        if (comma == std::string_view::npos)
+            return result;
+        text.remove_prefix(comma + 1);
+    }
+}
+
+} // namespace kumquatloom::request
--- /dev/null
+++ b/kumquatloom/request/content_digest.hpp
@@ -0,0 +1,25 @@
+#ifndef KUMQUATLOOM_REQUEST_CONTENT_DIGEST_HPP
+#define KUMQUATLOOM_REQUEST_CONTENT_DIGEST_HPP
+
+#include <kumquatloom/core/digest.hpp>
+
+#include <optional>
+#include <string_view>
+
+namespace kumquatloom::request
+{
+
+/// The digests of a `Content-Digest` field.
+struct content_digest
+{
+    /// The SHA-256 digest, if it is among them.
+    std::optional<core::sha256_digest> sha256;
+};
+
+/// Reads the value of a `Content-Digest` field (RFC 9530), a dictionary of
+/// byte sequences. Nothing if any part is malformed or a key is repeated.
+std::optional<content_digest> parse_content_digest(std::string_view text);
+
+} // namespace kumquatloom::request
+
+#endif
--- /dev/null
+++ b/kumquatloom/request/header_names.hpp
@@ -0,0 +1,23 @@
+#ifndef KUMQUATLOOM_REQUEST_HEADER_NAMES_HPP
+#define KUMQUATLOOM_REQUEST_HEADER_NAMES_HPP
+
+#include <string_view>
+
+/// The header fields that the system gives a meaning of its own.
+namespace kumquatloom::request::header_names
+{
+
+inline constexpr std::string_view deadline_ms = "Kumquatloom-Deadline-Ms";
+inline constexpr std::string_view ticket = "Kumquatloom-Ticket";
+inline constexpr std::string_view idempotent = "Kumquatloom-Idempotent";
+inline constexpr std::string_view priority = "Kumquatloom-Priority";
+inline constexpr std::string_view request_id = "Kumquatloom-Request-Id";
+inline constexpr std::string_view organisation = "Kumquatloom-Organisation";
+inline constexpr std::string_view outcome = "Kumquatloom-Outcome";
+inline constexpr std::string_view reason = "Kumquatloom-Reason";
+inline constexpr std::string_view load = "Kumquatloom-Load";
+inline constexpr std::string_view state = "Kumquatloom-State";
+
+} // namespace kumquatloom::request::header_names
+
+#endif
--- /dev/null
+++ b/kumquatloom/request/hedge_decider.cpp
@@ -0,0 +1,62 @@
+#include <kumquatloom/limits/retry_budget.hpp>
+#include <kumquatloom/request/hedge_decider.hpp>
+
+#include <boost/assert.hpp>
+
+#include <algorithm>
+
+namespace kumquatloom::request
+{
+
+hedge_decider::hedge_decider(hedge_settings settings,
+                             limits::retry_budget& budget,
+                             retry_counters& counters)
+    : settings_(settings)
+    , budget_(budget)
+    , counters_(counters)
+{
+}
+
+core::time_point hedge_decider::due(attempt_state const& state,
+                                    core::duration p95) const
+{
+    BOOST_ASSERT(state.attempts() > 0);
+    return state.started(0) +
+           std::max<core::duration>(p95, settings_.least_delay);
+}
+
+retry_decision hedge_decider::decide(attempt_state const& state,
+                                     core::duration p95,
+                                     core::time_point now) const
+{
+    auto denied = objection(state, p95, now);
+    if (!denied && !budget_.try_take(now))
+        denied = retry_denied_reason::budget_spent;
+    if (denied)
+    {
+        counters_.denied.increment(*denied);
+        return core::failure(*denied);
+    }
+    counters_.retries.increment(retry_reason::hedge);
+    return core::success(retry_reason::hedge);
+}
+
+std::optional<retry_denied_reason> hedge_decider::objection(
+    attempt_state const& state, core::duration p95, core::time_point now) const
+{
+    if (state.final_outcome() == outcome::completed)
+        return retry_denied_reason::completed;
+    if (state.has_caller_left())
+        return retry_denied_reason::caller_gone;
+    if (state.repeat() != idempotency::idempotent)
+        return retry_denied_reason::may_have_run;
+    if (state.attempts() != 1 || state.running() != 1)
+        return retry_denied_reason::too_many_attempts;
+    if (now < due(state, p95))
+        return retry_denied_reason::not_late;
+    if (state.until().left(now) < settings_.least_time)
+        return retry_denied_reason::no_time_left;
+    return std::nullopt;
+}
+
+} // namespace kumquatloom::request
--- /dev/null
+++ b/kumquatloom/request/kept_response.cpp
@@ -0,0 +1,28 @@
+#include <kumquatloom/request/kept_response.hpp>
+
+namespace kumquatloom::request
+{
+
+std::size_t kept_response::bytes() const
+{
+    std::size_t sum = sizeof(kept_response) + body.size();
+    for (auto const& field : fields)
+        sum += sizeof(stored_field) + field.name.size() + field.value.size();
+    return sum;
+}
+
+core::sha256_digest request_digest(std::string_view method,
+                                   std::string_view target,
+                                   std::string_view body)
+{
+    // Neither a method nor a target has a line feed, so that the parts cannot
+    // be shifted against each other.
+    std::string text;
+    text.reserve(method.size() + target.size() + 2 +
+                 sizeof(core::sha256_digest));
+    text.append(method).append("\n").append(target).append("\n");
+    text.append(core::as_bytes(core::sha256(body)));
+    return core::sha256(text);
+}
+
+} // namespace kumquatloom::request
--- /dev/null
+++ b/kumquatloom/request/retry_decider.cpp
@@ -0,0 +1,53 @@
+#include <kumquatloom/limits/retry_budget.hpp>
+#include <kumquatloom/request/retry_decider.hpp>
+
+#include <boost/assert.hpp>
+
+namespace kumquatloom::request
+{
+
+retry_decider::retry_decider(retry_settings settings,
+                             limits::retry_budget& budget,
+                             retry_counters& counters)
+    : settings_(settings)
+    , budget_(budget)
+    , counters_(counters)
+{
+}
+
+retry_decision retry_decider::decide(attempt_state const& state,
+                                     core::time_point now) const
+{
+    auto denied = objection(state, now);
+    // The budget is asked last, so that it only pays for attempts.
+    if (!denied && !budget_.try_take(now))
+        denied = retry_denied_reason::budget_spent;
+    if (denied)
+    {
+        counters_.denied.increment(*denied);
+        return core::failure(*denied);
+    }
+    BOOST_ASSERT(state.last_failure());
+    counters_.retries.increment(*state.last_failure());
+    return core::success(*state.last_failure());
+}
+
+std::optional<retry_denied_reason>
+retry_decider::objection(attempt_state const& state, core::time_point now) const
+{
+    if (state.final_outcome() == outcome::completed)
+        return retry_denied_reason::completed;
+    if (state.has_caller_left())
+        return retry_denied_reason::caller_gone;
+    if (state.running() > 0)
+        return retry_denied_reason::attempt_running;
+    if (state.repeat() != idempotency::idempotent && !state.proven_not_run())
+        return retry_denied_reason::may_have_run;
+    if (state.attempts() >= settings_.max_attempts)
+        return retry_denied_reason::too_many_attempts;
+    if (state.until().left(now) < settings_.least_time)
+        return retry_denied_reason::no_time_left;
+    return std::nullopt;
+}
+
+} // namespace kumquatloom::request
--- /dev/null
+++ b/unit_tests/admission/admission_gate_test.cpp
@@ -0,0 +1,243 @@
+#include <kumquatloom/admission/admission_gate.hpp>
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+namespace
+{
+
+using namespace kumquatloom;
+using namespace kumquatloom::admission;
+using namespace std::chrono_literals;
+using fields = std::vector<header_field>;
+
+document::route_settings route(std::string prefix,
+                               std::vector<std::string> const& organisations,
+                               std::vector<std::string> const& regions = {})
+{
+    document::route_settings result;
+    result.prefix = std::move(prefix);
+    result.service = core::service_name("storefront");
+    for (auto const& name : organisations)
+        result.organisations.emplace_back(name);
+    for (auto const& name : regions)
+        result.regions.emplace_back(name);
+    return result;
+}
+
+/// Two organisations; the secret of "toystall" is "secret-toystall".
+document::document example()
+{
+    document::document source;
+    source.version = 7;
+    source.services[core::service_name("storefront")].timeout = 400ms;
+    for (std::string const name : {"toystall", "bakery"})
+        source.organisations[core::organisation_name(name)]
+            .credentials.push_back(core::sha256("secret-" + name));
+    source.routes = {route("/catalogue", {"toystall", "bakery"}),
+                     route("/catalogue/private", {"bakery"}),
+                     route("/orders/", {"toystall"}, {"mombasa"}),
+                     route("/both", {"bakery"}),
+                     route("/both", {"toystall"})};
+    return source;
+}
+
+core::result<admitted_request, refusal_reason>
+admit(admission_gate& gate, std::string_view target, fields more)
+{
+    more.push_back({"Host", "shop.example"});
+    request_facts facts;
+    facts.method = "GET";
+    facts.target = target;
+    facts.fields = more;
+    return gate.admit(facts, core::time_point(1h));
+}
+
+constexpr header_field toystall{"Authorization", "Bearer secret-toystall"};
+
+refusal_reason
+reason(admission_gate& gate, std::string_view target, fields more = {toystall})
+{
+    auto const result = admit(gate, target, std::move(more));
+    REQUIRE_FALSE(result.has_value());
+    return result.error();
+}
+
+} // namespace
+
+// Guards against requests that reach a service without permission.
+TEST_CASE("a caller is admitted to a route", "[admission]")
+{
+    admission_gate gate({}, core::region("nairobi"));
+
+    SECTION("without a document nothing is admitted")
+    {
+        CHECK(reason(gate, "/catalogue") == refusal_reason::no_document);
+    }
+
+    SECTION("with a document")
+    {
+        gate.publish(example());
+
+        SECTION("a permitted request carries what the route says")
+        {
+            auto const result = admit(gate,
+                                      "/catalogue/toys?x=1",
+                                      {toystall,
+                                       {"Kumquatloom-Deadline-Ms", "50"},
+                                       {"Kumquatloom-Priority", "low"},
+                                       {"Kumquatloom-Idempotent", "false"},
+                                       {"Kumquatloom-Organisation", "bakery"}});
+            REQUIRE(result.has_value());
+            auto const& admitted = result.value();
+            CHECK(admitted.organisation.value() == "toystall");
+            CHECK(admitted.service.value() == "storefront");
+            CHECK(admitted.route.prefix == "/catalogue");
+            CHECK(admitted.route.attempt_timeout == 400ms);
+            CHECK(admitted.until.at() == core::time_point(1h + 50ms));
+            CHECK(admitted.priority == limits::priority::low);
+            CHECK(admitted.repeat == request::idempotency::not_idempotent);
+            CHECK_FALSE(admitted.ticket);
+        }
+
+        SECTION("a caller cannot extend the route's deadline")
+        {
+            auto const result =
+                admit(gate,
+                      "/catalogue",
+                      {toystall, {"Kumquatloom-Deadline-Ms", "900000000"}});
+            CHECK(result.value().until.at() == core::time_point(1h + 1s));
+        }
+
+        SECTION("wrong credentials are refused and counted")
+        {
+            CHECK(reason(gate, "/catalogue", {}) ==
+                  refusal_reason::no_credential);
+            for (auto const text : {"Bearer secret-other",
+                                    "Bearer  secret-toystall",
+                                    "Bearer secret-toystall ",
+                                    "Bearer ",
+                                    "Basic secret-toystall",
+                                    "secret-toystall",
+                                    ""})
+                CHECK(reason(gate, "/catalogue", {{"Authorization", text}}) ==
+                      refusal_reason::unknown_credential);
+            CHECK(gate.refusals().value(refusal_reason::unknown_credential) ==
+                  7);
+        }
+
+        SECTION("the longest prefix at a segment boundary decides")
+        {
+            CHECK(reason(gate, "/catalogue/private/x") ==
+                  refusal_reason::organisation_not_permitted);
+            CHECK(admit(gate, "/catalogue/privateer", {toystall}).has_value());
+            CHECK(reason(gate, "/cataloguer") == refusal_reason::unknown_path);
+            CHECK(reason(gate, "/") == refusal_reason::unknown_path);
+            CHECK(reason(gate, "/orders/1") ==
+                  refusal_reason::region_not_permitted);
+            CHECK(admit(gate, "/both/x", {toystall}).value().route.index == 4);
+        }
+
+        SECTION("malformed own headers are refused")
+        {
+            for (auto const text : {"", "-1", "1.5", "5s", "9999999999"})
+                CHECK(reason(gate,
+                             "/catalogue",
+                             {toystall, {"Kumquatloom-Deadline-Ms", text}}) ==
+                      refusal_reason::bad_request_header);
+            CHECK(reason(gate,
+                         "/catalogue",
+                         {toystall, {"Kumquatloom-Priority", "urgent"}}) ==
+                  refusal_reason::bad_request_header);
+        }
+
+        SECTION("a secret of two organisations proves neither")
+        {
+            auto source = example();
+            source.organisations[core::organisation_name("bakery")]
+                .credentials.push_back(core::sha256("secret-toystall"));
+            gate.publish(source);
+            CHECK(reason(gate, "/catalogue") ==
+                  refusal_reason::unknown_credential);
+            CHECK(gate.table()->organisations().ambiguous_credentials() == 1);
+        }
+
+        SECTION("a request keeps the table that admitted it")
+        {
+            auto const admitted = admit(gate, "/catalogue", {toystall}).value();
+            gate.publish(document::document());
+            CHECK(admitted.route.prefix == "/catalogue");
+            CHECK(reason(gate, "/catalogue") ==
+                  refusal_reason::unknown_credential);
+        }
+    }
+}
+
+// Guards against an index that finds another organisation or route than a
+// plain search.
+TEST_CASE("the indexes agree with a plain search", "[admission]")
+{
+    rc::prop(
+        "credentials",
+        []
+        {
+            auto const count = *rc::gen::inRange(0, 400);
+            std::map<core::organisation_name, document::organisation_settings>
+                organisations;
+            for (int i = 0; i < count; ++i)
+                organisations[core::organisation_name("o" + std::to_string(i))]
+                    .credentials = {core::sha256("s" + std::to_string(i))};
+            authenticator const index(organisations);
+            for (int i = 0; i < count; ++i)
+            {
+                auto const text = "Bearer s" + std::to_string(i);
+                auto const found = index.authenticate(text);
+                RC_ASSERT(found.has_value());
+                RC_ASSERT(index.name(found.value()) == "o" + std::to_string(i));
+            }
+            RC_ASSERT(!index.authenticate("Bearer other").has_value());
+        });
+
+    rc::prop(
+        "routes",
+        []
+        {
+            auto const segment =
+                rc::gen::element<std::string>("/a", "/b", "/ab");
+            auto const path = rc::gen::map(
+                rc::gen::container<std::vector<std::string>>(segment),
+                [](std::vector<std::string> const& parts)
+                {
+                    std::string text;
+                    for (std::size_t i = 0; i < parts.size() && i < 4; ++i)
+                        text += parts[i];
+                    return text;
+                });
+            document::document source;
+            source.organisations[core::organisation_name("o")].credentials = {
+                core::sha256("s")};
+            for (auto const& prefix :
+                 *rc::gen::container<std::vector<std::string>>(path))
+                source.routes.push_back(
+                    route(prefix.empty() ? "/" : prefix, {"o"}));
+            authenticator const organisations(source.organisations);
+            route_table const table(source, organisations, core::region("r"));
+            auto const wanted = *path + "/x";
+            std::optional<std::string> best;
+            for (auto const& item : source.routes)
+            {
+                auto const prefix = item.prefix == "/" ? "" : item.prefix;
+                if (wanted.starts_with(prefix + "/") &&
+                    (!best || prefix.size() > best->size()))
+                    best = prefix;
+            }
+            auto const found = table.match(wanted, organisation_index{0});
+            RC_ASSERT(found.has_value() == best.has_value());
+            if (best)
+                RC_ASSERT(found.value().prefix == *best);
+        });
+}
