--- /dev/null
+++ b/kumquatloom/document/document_index.cpp
@@ -0,0 +1,324 @@
+#include <kumquatloom/core/json_reader.hpp>
+#include <kumquatloom/document/document_index.hpp>
+#include <kumquatloom/document/edit_record.hpp>
+
+#include <boost/assert.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace kumquatloom::document
+{
+
+namespace
+{
+
+std::string quoted(std::string_view text)
+{
+    return '"' + std::string(text) + '"';
+}
+
+/// JSON pointer to a member of a section.
+std::string pointer_to(std::string const& section, std::string_view member)
+{
+    return core::append_to_pointer("/sections", section) + '/' +
+           std::string(member);
+}
+
+std::string pointer_to_route(std::string const& section,
+                             std::size_t route,
+                             std::string_view member)
+{
+    return pointer_to(section, "routes") + '/' + std::to_string(route) + '/' +
+           std::string(member);
+}
+
+bool holds_service(section const& content, std::string_view name)
+{
+    return content.services().find(name).has_value();
+}
+
+bool holds_organisation(section const& content, std::string_view name)
+{
+    return content.organisations().find(name).has_value();
+}
+
+bool holds_prefix(section const& content, std::string_view prefix)
+{
+    auto const& prefixes = content.prefixes();
+    for (std::size_t i = 0; i < prefixes.size(); ++i)
+        if (prefixes[i] == prefix)
+            return true;
+    return false;
+}
+
+/// Adds a fault for each foreign name of `user` that the section `name` held
+/// and no longer holds.
+void check_use(name_table const& foreign,
+               name_table const& before,
+               name_table const* after,
+               std::string const& pointer,
+               std::string const& user,
+               core::fault_list& faults)
+{
+    for (std::size_t i = 0; i < foreign.size(); ++i)
+    {
+        auto const used = foreign[i];
+        bool const stays = after != nullptr && after->find(used);
+        if (!stays && before.find(used))
+            faults.push_back({pointer,
+                              "nothing in place of " + quoted(used),
+                              "a name that routes of the section " + user +
+                                  " use must stay"});
+    }
+}
+
+void check_platform_key(owner_keys const& owners, core::fault_list& faults)
+{
+    if (!owners.contains(std::string_view(platform_owner)))
+        faults.push_back({core::append_to_pointer("/owners", platform_owner),
+                          "nothing",
+                          "the key of the owner platform"});
+}
+
+} // namespace
+
+document_index::document_index(reduced_document const& reduced)
+{
+    for (auto const& [name, state] : reduced.sections)
+    {
+        auto const number = number_of(name);
+        sections_[number].content = state.content.get();
+        services_.append(state.content->services(), number);
+        organisations_.append(state.content->organisations(), number);
+        prefixes_.append(state.content->prefixes(), number);
+    }
+    services_.sort();
+    organisations_.sort();
+    prefixes_.sort();
+}
+
+void document_index::check(reduced_document const& reduced,
+                           std::string const& name,
+                           section const* candidate,
+                           core::fault_list& faults) const
+{
+    check_removed_names(reduced, name, candidate, faults);
+    if (candidate == nullptr)
+        return;
+    // Empty names stand for faults that the parser has reported.
+    if (!candidate->owner().empty() &&
+        !reduced.owners.contains(candidate->owner()))
+        faults.push_back({pointer_to(name, "owner"),
+                          quoted(candidate->owner()),
+                          "one of the document's owners"});
+    check_names(name, *candidate, faults);
+    check_prefixes(name, *candidate, faults);
+    check_references(name, *candidate, faults);
+}
+
+void document_index::replace(std::string const& name, section const* candidate)
+{
+    static name_table const empty;
+    auto const number = number_of(name);
+    sections_[number].content = candidate;
+    services_.replace(candidate ? candidate->services() : empty, number);
+    organisations_.replace(candidate ? candidate->organisations() : empty,
+                           number);
+    prefixes_.replace(candidate ? candidate->prefixes() : empty, number);
+    if (candidate != nullptr)
+        return;
+    sections_[number].name.clear();
+    numbers_.erase(name);
+    free_numbers_.push_back(number);
+}
+
+std::size_t document_index::memory_bytes() const
+{
+    return services_.memory_bytes() + organisations_.memory_bytes() +
+           prefixes_.memory_bytes() +
+           sections_.capacity() * sizeof(numbered_section);
+}
+
+template <typename Holds>
+std::string_view document_index::other_holder(name_index const& index,
+                                              std::string_view name,
+                                              std::string_view own,
+                                              Holds const& holds) const
+{
+    std::string_view holder;
+    index.each_candidate(name,
+                         [&](std::uint16_t number)
+                         {
+                             auto const& other = sections_[number];
+                             if (other.name != own && other.content &&
+                                 holds(*other.content, name))
+                                 holder = other.name;
+                         });
+    return holder;
+}
+
+void document_index::check_names(std::string const& name,
+                                 section const& candidate,
+                                 core::fault_list& faults) const
+{
+    auto const check_table = [&](name_table const& names,
+                                 name_index const& index,
+                                 std::string_view member,
+                                 auto const& holds)
+    {
+        for (std::size_t i = 0; i < names.size(); ++i)
+        {
+            auto const holder = other_holder(index, names[i], name, holds);
+            if (!holder.empty())
+                faults.push_back({core::append_to_pointer(
+                                      pointer_to(name, member), names[i]),
+                                  quoted(names[i]),
+                                  "a name that the section " +
+                                      std::string(holder) + " does not use"});
+        }
+    };
+    check_table(candidate.services(), services_, "services", holds_service);
+    check_table(candidate.organisations(),
+                organisations_,
+                "organisations",
+                holds_organisation);
+}
+
+void document_index::check_prefixes(std::string const& name,
+                                    section const& candidate,
+                                    core::fault_list& faults) const
+{
+    auto const& prefixes = candidate.prefixes();
+    std::vector<std::pair<std::string_view, std::size_t>> own;
+    for (std::size_t i = 0; i < prefixes.size(); ++i)
+    {
+        if (prefixes[i].empty())
+            continue;
+        own.emplace_back(prefixes[i], i);
+        auto const holder =
+            other_holder(prefixes_, prefixes[i], name, holds_prefix);
+        if (!holder.empty())
+            faults.push_back({pointer_to_route(name, i, "prefix"),
+                              quoted(prefixes[i]),
+                              "a prefix that the section " +
+                                  std::string(holder) + " does not use"});
+    }
+    std::sort(own.begin(), own.end());
+    for (std::size_t i = 1; i < own.size(); ++i)
+        if (own[i].first == own[i - 1].first)
+            faults.push_back({pointer_to_route(name, own[i].second, "prefix"),
+                              quoted(own[i].first),
+                              "a prefix that no other route uses"});
+}
+
+void document_index::check_references(std::string const& name,
+                                      section const& candidate,
+                                      core::fault_list& faults) const
+{
+    // Names of the section itself need no look-up.
+    auto const exists = [&](name_table const& foreign,
+                            name_index const& index,
+                            std::string_view wanted,
+                            auto const& holds)
+    {
+        return wanted.empty() || !foreign.find(wanted) ||
+               !other_holder(index, wanted, name, holds).empty();
+    };
+    bool const self_contained = candidate.foreign_services().size() == 0 &&
+                                candidate.foreign_organisations().size() == 0;
+    if (self_contained)
+        return;
+    for (std::size_t i = 0; i < candidate.prefixes().size(); ++i)
+    {
+        auto const service = candidate.route_service(i);
+        if (!exists(candidate.foreign_services(),
+                    services_,
+                    service,
+                    holds_service))
+            faults.push_back({pointer_to_route(name, i, "service"),
+                              quoted(service),
+                              "a service of some section"});
+        for (std::size_t k = 0; k < candidate.route_organisation_count(i); ++k)
+        {
+            auto const organisation = candidate.route_organisation(i, k);
+            if (!exists(candidate.foreign_organisations(),
+                        organisations_,
+                        organisation,
+                        holds_organisation))
+                faults.push_back({pointer_to_route(name, i, "organisations") +
+                                      '/' + std::to_string(k),
+                                  quoted(organisation),
+                                  "an organisation of some section"});
+        }
+    }
+}
+
+void document_index::check_removed_names(reduced_document const& reduced,
+                                         std::string const& name,
+                                         section const* candidate,
+                                         core::fault_list& faults) const
+{
+    auto const before = reduced.sections.find(name);
+    if (before == reduced.sections.end() ||
+        before->second.content.get() == candidate)
+        return;
+    auto const& old = *before->second.content;
+    for (auto const& [user, state] : reduced.sections)
+    {
+        if (user == name)
+            continue;
+        check_use(state.content->foreign_services(),
+                  old.services(),
+                  candidate ? &candidate->services() : nullptr,
+                  pointer_to(name, "services"),
+                  user,
+                  faults);
+        check_use(state.content->foreign_organisations(),
+                  old.organisations(),
+                  candidate ? &candidate->organisations() : nullptr,
+                  pointer_to(name, "organisations"),
+                  user,
+                  faults);
+    }
+}
+
+std::uint16_t document_index::number_of(std::string const& name)
+{
+    auto const found = numbers_.find(name);
+    if (found != numbers_.end())
+        return found->second;
+    if (free_numbers_.empty())
+    {
+        free_numbers_.push_back(static_cast<std::uint16_t>(sections_.size()));
+        sections_.emplace_back();
+    }
+    auto const number = free_numbers_.back();
+    free_numbers_.pop_back();
+    sections_[number].name = name;
+    numbers_.emplace(name, number);
+    return number;
+}
+
+void check_whole(reduced_document const& reduced,
+                 document_index const& index,
+                 core::fault_list& faults)
+{
+    check_platform_key(reduced.owners, faults);
+    for (auto const& [name, state] : reduced.sections)
+        index.check(reduced, name, state.content.get(), faults);
+}
+
+void check_owners(reduced_document const& reduced,
+                  owner_keys const& owners,
+                  core::fault_list& faults)
+{
+    check_platform_key(owners, faults);
+    for (auto const& [name, state] : reduced.sections)
+        if (!owners.contains(state.content->owner()))
+            faults.push_back({pointer_to(name, "owner"),
+                              quoted(state.content->owner()),
+                              "one of the document's owners"});
+}
+
+} // namespace kumquatloom::document
--- /dev/null
+++ b/kumquatloom/document/ejection_reducer.cpp
@@ -0,0 +1,26 @@
+#include <kumquatloom/document/ejection_reducer.hpp>
+
+namespace kumquatloom::document
+{
+
+ejection_reducer ignore_ejections()
+{
+    return {[](eject_record const&, core::log_offset, unsigned)
+            {
+                return false;
+            },
+            [](readmit_record const&, core::log_offset, unsigned)
+            {
+                return false;
+            },
+            []
+            {
+                return std::string();
+            },
+            [](std::string_view)
+            {
+                return true;
+            }};
+}
+
+} // namespace kumquatloom::document
--- /dev/null
+++ b/kumquatloom/document/ejection_reducer.hpp
@@ -0,0 +1,91 @@
+#ifndef KUMQUATLOOM_DOCUMENT_EJECTION_REDUCER_HPP
+#define KUMQUATLOOM_DOCUMENT_EJECTION_REDUCER_HPP
+
+#include <kumquatloom/core/ids.hpp>
+#include <kumquatloom/document/eject_record.hpp>
+#include <kumquatloom/document/readmit_record.hpp>
+
+#include <concepts>
+#include <functional>
+#include <string>
+#include <string_view>
+
+namespace kumquatloom::document
+{
+
+/// An ejection ledger that the reducer can feed. `budget` is the ejection
+/// budget of the record's service in the document at that offset, 0 for a
+/// service that is not in the document.
+template <typename Ledger>
+concept ejection_ledger = requires(Ledger& ledger,
+                                   Ledger const& constant,
+                                   eject_record const& eject,
+                                   readmit_record const& readmit,
+                                   core::log_offset offset,
+                                   unsigned budget,
+                                   std::string_view bytes)
+{
+    // True if the record changed the ledger.
+    {
+        ledger.apply(eject, offset, budget)
+        } -> std::convertible_to<bool>;
+    {
+        ledger.apply(readmit, offset, budget)
+        } -> std::convertible_to<bool>;
+    // Deterministic bytes of the whole ledger.
+    {
+        constant.serialise()
+        } -> std::convertible_to<std::string>;
+    // Replaces the ledger; false if the bytes are malformed.
+    {
+        ledger.restore(bytes)
+        } -> std::convertible_to<bool>;
+};
+
+/// The calls by which the reducer reaches a ledger of another package.
+struct ejection_reducer
+{
+    /// Applies an ejection; true if the ledger changed.
+    std::function<bool(eject_record const&, core::log_offset, unsigned)> eject;
+    /// Applies a readmission; true if the ledger changed.
+    std::function<bool(readmit_record const&, core::log_offset, unsigned)>
+        readmit;
+    /// Deterministic bytes of the ledger.
+    std::function<std::string()> serialise;
+    /// Replaces the ledger; false if the bytes are malformed.
+    std::function<bool(std::string_view)> restore;
+};
+
+/// Connects a ledger, which must outlive the result.
+template <ejection_ledger Ledger>
+ejection_reducer connect_ejections(Ledger& ledger)
+{
+    return {[&ledger](eject_record const& record,
+                      core::log_offset offset,
+                      unsigned budget)
+            {
+                return static_cast<bool>(ledger.apply(record, offset, budget));
+            },
+            [&ledger](readmit_record const& record,
+                      core::log_offset offset,
+                      unsigned budget)
+            {
+                return static_cast<bool>(ledger.apply(record, offset, budget));
+            },
+            [&ledger]
+            {
+                return std::string(ledger.serialise());
+            },
+            [&ledger](std::string_view bytes)
+            {
+                return static_cast<bool>(ledger.restore(bytes));
+            }};
+}
+
+/// Drops ejections and keeps an empty ledger, for tools that only read the
+/// document.
+ejection_reducer ignore_ejections();
+
+} // namespace kumquatloom::document
+
+#endif
