Add the health and routing packages and a measuring program

The decision packages had no detection, ejection ledger or picker. Health scores attempts by a sequential likelihood-ratio test, merges cumulative evidence of peers and reduces ejections from the log. Routing picks by distance and power of two choices over atomics. kumquatloom_measure runs both under a manual clock beside a conventional proxy.

--- /dev/null
+++ b/kumquatloom/health/evaluate_standings.hpp
@@ -0,0 +1,29 @@
+#ifndef KUMQUATLOOM_HEALTH_EVALUATE_STANDINGS_HPP
+#define KUMQUATLOOM_HEALTH_EVALUATE_STANDINGS_HPP
+
+#include <kumquatloom/core/clock.hpp>
+#include <kumquatloom/core/ids.hpp>
+#include <kumquatloom/health/standing_decision.hpp>
+
+#include <vector>
+
+namespace kumquatloom::health
+{
+
+class ejection_view;
+class floor_guard;
+class health_monitor;
+
+/// Combines evidence, the log's ejections and the floor into the standings of
+/// the upstreams that are live and not leaving. Called after each tick of the
+/// monitor, and at once when the ledger changes.
+std::vector<standing_decision>
+evaluate_standings(health_monitor& monitor,
+                   ejection_view const& ejections,
+                   floor_guard const& guard,
+                   std::vector<core::upstream_id> const& live,
+                   core::time_point now);
+
+} // namespace kumquatloom::health
+
+#endif
--- /dev/null
+++ b/kumquatloom/health/floor_guard.cpp
@@ -0,0 +1,62 @@
+#include <kumquatloom/health/floor_guard.hpp>
+
+#include <algorithm>
+#include <cstddef>
+
+namespace kumquatloom::health
+{
+
+namespace
+{
+
+/// The decisions with a standing, least sick first. Ties are broken by name,
+/// so that instances with the same evidence decide alike.
+std::vector<standing_decision*>
+with_standing(std::vector<standing_decision>& decisions,
+              upstream_standing standing)
+{
+    std::vector<standing_decision*> found;
+    for (auto& decision : decisions)
+        if (decision.standing == standing)
+            found.push_back(&decision);
+    std::sort(found.begin(),
+              found.end(),
+              [](auto const* left, auto const* right)
+              {
+                  if (left->severity != right->severity)
+                      return left->severity < right->severity;
+                  return left->upstream < right->upstream;
+              });
+    return found;
+}
+
+/// Changes all but the `most` sickest of a standing; returns how many stay.
+std::size_t demote(std::vector<standing_decision>& decisions,
+                   upstream_standing from,
+                   upstream_standing to,
+                   std::size_t most)
+{
+    auto const found = with_standing(decisions, from);
+    std::size_t const excess = found.size() - std::min(found.size(), most);
+    for (std::size_t i = 0; i < excess; ++i)
+        found[i]->standing = to;
+    return found.size() - excess;
+}
+
+} // namespace
+
+void floor_guard::apply(std::vector<standing_decision>& decisions) const
+{
+    std::size_t const live = decisions.size();
+    std::size_t const spare = live - std::min<std::size_t>(live, floor_);
+    std::size_t const ejected = demote(decisions,
+                                       upstream_standing::ejected,
+                                       upstream_standing::avoided,
+                                       std::min<std::size_t>(spare, budget_));
+    demote(decisions,
+           upstream_standing::avoided,
+           upstream_standing::normal,
+           budget_ - ejected);
+}
+
+} // namespace kumquatloom::health
--- /dev/null
+++ b/kumquatloom/health/outlier_detector.cpp
@@ -0,0 +1,73 @@
+#include <kumquatloom/health/outlier_detector.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+
+namespace kumquatloom::health
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+/// Fraction of bad attempts at a sick upstream that the test is designed for.
+/// The score of an upstream grows if it fails more than about 7% of attempts.
+constexpr double sick_rate = 0.3;
+/// Least fractions assumed of healthy upstreams, so that a quiet service does
+/// not make a single failure conclusive.
+constexpr double min_failed_rate = 0.002;
+constexpr double min_late_rate = 0.005;
+/// Healthy upstreams do not send answers that fail verification, but one
+/// corrupted connection must not be conclusive either.
+constexpr double wrong_rate = 0.0005;
+/// The estimate of the background is doubled, because it is made from few
+/// samples and healthy upstreams differ.
+constexpr double background_margin = 2;
+/// A background above this leaves nothing to tell a sick upstream by.
+constexpr double max_rate = 0.25;
+/// Added to the late threshold, because in a service that answers within
+/// microseconds the network alone exceeds any multiple of the median.
+constexpr core::duration late_slack = 2ms;
+
+double assumed_rate(double observed, double least)
+{
+    return std::clamp(observed * background_margin, least, max_rate);
+}
+
+} // namespace
+
+double outlier_detector::weigh(evidence_counts const& counts,
+                               background_rates const& background) const
+{
+    double const failed = assumed_rate(background.failed, min_failed_rate);
+    double const late = assumed_rate(background.late, min_late_rate);
+    double const healthy_ok = 1 - std::min(failed + late, max_rate);
+    double score = counts.ok * std::log((1 - sick_rate) / healthy_ok);
+    score += (counts.error + counts.timeout) * std::log(sick_rate / failed);
+    score += counts.late * std::log(sick_rate / late);
+    return score + weigh_wrong(counts);
+}
+
+double outlier_detector::weigh_wrong(evidence_counts const& counts)
+{
+    return counts.wrong * std::log(sick_rate / wrong_rate);
+}
+
+core::duration
+outlier_detector::late_threshold(std::vector<core::duration>& others) const
+{
+    if (others.empty())
+        return core::duration::max();
+    // The lower median, so that of two others the quicker one counts.
+    auto const middle =
+        others.begin() + static_cast<std::ptrdiff_t>((others.size() - 1) / 2);
+    std::nth_element(others.begin(), middle, others.end());
+    auto const scaled =
+        static_cast<double>(middle->count()) * settings_.late_factor;
+    return core::duration(static_cast<core::duration::rep>(scaled)) +
+           late_slack;
+}
+
+} // namespace kumquatloom::health
--- /dev/null
+++ b/kumquatloom/routing/names.cpp
@@ -0,0 +1,30 @@
+#include <kumquatloom/routing/pick_error.hpp>
+#include <kumquatloom/routing/spill.hpp>
+
+#include <boost/assert.hpp>
+
+#include <array>
+#include <cstddef>
+
+namespace kumquatloom::routing
+{
+
+std::string_view to_string(pick_error error)
+{
+    static constexpr std::array<std::string_view, 3> names = {
+        "no_upstream", "all_tried", "no_free_slot"};
+    static_assert(names.size() == static_cast<std::size_t>(pick_error::count));
+    BOOST_ASSERT(error < pick_error::count);
+    return names[static_cast<std::size_t>(error)];
+}
+
+std::string_view to_string(spill kind)
+{
+    static constexpr std::array<std::string_view, 5> names = {
+        "own_domain", "own_region", "other_region", "avoided", "trial"};
+    static_assert(names.size() == static_cast<std::size_t>(spill::count));
+    BOOST_ASSERT(kind < spill::count);
+    return names[static_cast<std::size_t>(kind)];
+}
+
+} // namespace kumquatloom::routing
--- /dev/null
+++ b/kumquatloom/routing/picker.hpp
@@ -0,0 +1,89 @@
+#ifndef KUMQUATLOOM_ROUTING_PICKER_HPP
+#define KUMQUATLOOM_ROUTING_PICKER_HPP
+
+#include <kumquatloom/core/clock.hpp>
+#include <kumquatloom/core/counter_family.hpp>
+#include <kumquatloom/core/rcu_cell.hpp>
+#include <kumquatloom/core/result.hpp>
+#include <kumquatloom/health/attempt_report.hpp>
+#include <kumquatloom/routing/pick.hpp>
+#include <kumquatloom/routing/pick_error.hpp>
+#include <kumquatloom/routing/spill.hpp>
+#include <kumquatloom/routing/upstream_table.hpp>
+
+#include <cstdint>
+
+namespace kumquatloom::routing
+{
+
+/// What the cheaper of two random candidates is judged by.
+enum class choice_rule : std::uint8_t
+{
+    /// (in flight + 1) x smoothed latency.
+    load_and_latency,
+    /// Attempts in flight alone.
+    load
+};
+
+/// Chooses an upstream of one service for each attempt. `choose` and
+/// `finished` run on any thread and take no lock.
+class picker
+{
+public:
+    explicit picker(choice_rule rule = choice_rule::load_and_latency)
+        : rule_(rule)
+    {
+    }
+
+    /// Replaces the table; one control thread calls it.
+    void publish(upstream_table::pointer table)
+    {
+        table_.publish(std::move(table));
+    }
+
+    /// The present table, or null.
+    upstream_table::pointer table() const
+    {
+        return table_.read();
+    }
+
+    /// Chooses an upstream and counts the attempt as in flight.
+    core::result<pick, pick_error> choose(pick_request const& request,
+                                          core::time_point now);
+
+    /// Ends the attempt of a pick.
+    void finished(pick const& chosen,
+                  health::attempt_report const& report,
+                  core::time_point now);
+
+    /// Attempts by how far from the instance they went.
+    core::counter_family<spill> const& spills() const
+    {
+        return spills_;
+    }
+
+    /// Failed choices by reason.
+    core::counter_family<pick_error> const& errors() const
+    {
+        return errors_;
+    }
+
+private:
+    /// Counts and returns a choice.
+    pick take(boost::intrusive_ptr<upstream> const& object, spill kind);
+    /// Counts and returns an error.
+    core::result<pick, pick_error> fail(pick_error error);
+
+    /// The upstreams.
+    core::rcu_cell<upstream_table> table_;
+    /// What the cheaper candidate is judged by.
+    choice_rule rule_;
+    /// Choices by distance.
+    core::counter_family<spill> spills_;
+    /// Failed choices by reason.
+    core::counter_family<pick_error> errors_;
+};
+
+} // namespace kumquatloom::routing
+
+#endif
--- /dev/null
+++ b/kumquatloom/routing/upstream.cpp
@@ -0,0 +1,112 @@
+#include <kumquatloom/routing/upstream.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+#include <utility>
+
+namespace kumquatloom::routing
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+/// Time over which a new upstream's share rises to its full size, and the
+/// share that it starts with.
+constexpr core::duration slow_start_time = 10s;
+constexpr double slow_start_weight = 0.1;
+/// Bounds on how long a report of full slots is believed. Within them it is
+/// one smoothed latency, after which one of the requests has ended.
+constexpr core::duration min_report_age = 5ms;
+constexpr core::duration max_report_age = 200ms;
+/// Lower bound of the success that costs are divided by. An upstream that
+/// fails quickly would otherwise look cheap and attract the work of others.
+constexpr double min_success = 0.1;
+constexpr double weight_scale = 1000;
+
+core::duration::rep ticks(core::time_point time)
+{
+    return time.time_since_epoch().count();
+}
+
+} // namespace
+
+upstream::upstream(upstream_endpoint endpoint,
+                   core::time_point now,
+                   bool is_warm)
+    : endpoint_(std::move(endpoint))
+    , recorder_(new health::attempt_recorder)
+    , slow_start_(is_warm ? now - slow_start_time : now)
+    , concurrency_limit_(endpoint_.slots)
+    , reported_at_(ticks(now))
+{
+}
+
+void upstream::report_load(unsigned in_flight, core::time_point now)
+{
+    reported_load_.store(in_flight, std::memory_order_relaxed);
+    reported_at_.store(ticks(now), std::memory_order_relaxed);
+}
+
+void upstream::publish(health::standing_decision const& decision,
+                       core::time_point honoured_until)
+{
+    honoured_until_.store(ticks(honoured_until), std::memory_order_relaxed);
+    weight_.store(
+        static_cast<unsigned>(std::lround(decision.weight * weight_scale)),
+        std::memory_order_relaxed);
+    if (decision.trial)
+        trial_.store(true, std::memory_order_relaxed);
+    else if (decision.standing != health::upstream_standing::avoided)
+        trial_.store(false, std::memory_order_relaxed);
+    standing_.store(decision.standing, std::memory_order_release);
+}
+
+health::upstream_standing upstream::standing(core::time_point now) const
+{
+    if (is_leaving())
+        return health::upstream_standing::leaving;
+    auto const standing = standing_.load(std::memory_order_acquire);
+    bool const lapsed =
+        standing == health::upstream_standing::ejected &&
+        ticks(now) >= honoured_until_.load(std::memory_order_relaxed);
+    return lapsed ? health::upstream_standing::avoided : standing;
+}
+
+bool upstream::has_free_slot(core::time_point now) const
+{
+    if (in_flight() >= concurrency_limit_.load(std::memory_order_relaxed))
+        return false;
+    if (reported_load_.load(std::memory_order_relaxed) < endpoint_.slots)
+        return true;
+    core::duration const age(ticks(now) -
+                             reported_at_.load(std::memory_order_relaxed));
+    return age > std::clamp(recorder_->smoothed_latency(),
+                            min_report_age,
+                            max_report_age);
+}
+
+double upstream::weight(core::time_point now) const
+{
+    double const decided =
+        weight_.load(std::memory_order_relaxed) / weight_scale;
+    double const warmth = std::chrono::duration<double>(now - slow_start_) /
+                          std::chrono::duration<double>(slow_start_time);
+    return decided * std::clamp(warmth, slow_start_weight, 1.0);
+}
+
+double upstream::cost(double fallback) const
+{
+    double const latency = latency_seconds();
+    return (in_flight() + 1) * (latency > 0 ? latency : fallback) /
+           std::max(recorder_->smoothed_success(), min_success);
+}
+
+double upstream::latency_seconds() const
+{
+    return std::chrono::duration<double>(recorder_->smoothed_latency()).count();
+}
+
+} // namespace kumquatloom::routing
--- /dev/null
+++ b/kumquatloom/routing/upstream_table.cpp
@@ -0,0 +1,132 @@
+#include <kumquatloom/routing/upstream_table.hpp>
+
+#include <algorithm>
+#include <chrono>
+
+namespace kumquatloom::routing
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+/// How long a departure is remembered; far longer than the list lags.
+constexpr core::duration departure_memory = 5min;
+
+spill distance_of(upstream_endpoint const& endpoint, locality const& here)
+{
+    if (endpoint.domain == here.domain)
+        return spill::own_domain;
+    return endpoint.region == here.region ? spill::own_region
+                                          : spill::other_region;
+}
+
+} // namespace
+
+upstream_table::pointer
+upstream_table::build(pointer const& previous,
+                      std::vector<listed_upstream> const& listed,
+                      locality const& here,
+                      core::time_point now)
+{
+    boost::intrusive_ptr<upstream_table> const table(new upstream_table);
+    for (auto const& item : listed)
+    {
+        auto const object = object_for(previous, item.endpoint, now);
+        bool const departed = previous && previous->has_departed(item.endpoint);
+        if (item.leaving || departed)
+            object->mark_leaving();
+        table->entries_.push_back({object, distance_of(item.endpoint, here)});
+    }
+    std::stable_sort(table->entries_.begin(),
+                     table->entries_.end(),
+                     [](entry const& left, entry const& right)
+                     {
+                         return left.distance < right.distance;
+                     });
+    if (previous)
+        table->remember_departures(*previous, now);
+    return table;
+}
+
+boost::intrusive_ptr<upstream>
+upstream_table::find(core::upstream_id const& id) const
+{
+    for (auto const& item : entries_)
+        if (item.object->endpoint().id == id)
+            return item.object;
+    return nullptr;
+}
+
+std::vector<core::upstream_id> upstream_table::live() const
+{
+    std::vector<core::upstream_id> ids;
+    ids.reserve(entries_.size());
+    for (auto const& item : entries_)
+        if (!item.object->is_leaving())
+            ids.push_back(item.object->endpoint().id);
+    return ids;
+}
+
+std::vector<health::tracked_upstream> upstream_table::tracked() const
+{
+    std::vector<health::tracked_upstream> result;
+    result.reserve(entries_.size());
+    for (auto const& item : entries_)
+        result.push_back({item.object->endpoint().id,
+                          item.object->endpoint().region,
+                          item.object->recorder()});
+    return result;
+}
+
+void upstream_table::publish(
+    std::vector<health::standing_decision> const& decisions,
+    core::time_point honoured_until) const
+{
+    for (auto const& decision : decisions)
+        if (auto const object = find(decision.upstream))
+            object->publish(decision, honoured_until);
+}
+
+boost::intrusive_ptr<upstream>
+upstream_table::object_for(pointer const& previous,
+                           upstream_endpoint const& endpoint,
+                           core::time_point now)
+{
+    if (!previous)
+        // All upstreams are new to an instance that starts, but not cold.
+        return new upstream(endpoint, now, true);
+    auto const known = previous->find(endpoint.id);
+    // Another address is another process, which starts cold.
+    if (known && known->endpoint() == endpoint)
+        return known;
+    return new upstream(endpoint, now, false);
+}
+
+bool upstream_table::has_departed(upstream_endpoint const& endpoint) const
+{
+    return std::any_of(departures_.begin(),
+                       departures_.end(),
+                       [&](departure const& left)
+                       {
+                           return left.endpoint == endpoint;
+                       });
+}
+
+void upstream_table::remember_departures(upstream_table const& previous,
+                                         core::time_point now)
+{
+    for (auto const& left : previous.departures_)
+        if (now < left.forget_at)
+            departures_.push_back(left);
+    for (auto const& item : previous.entries_)
+    {
+        auto const& endpoint = item.object->endpoint();
+        auto const kept = find(endpoint.id);
+        if (item.object->is_leaving() && kept != item.object)
+            departures_.push_back({endpoint, now + departure_memory});
+    }
+}
+
+} // namespace kumquatloom::routing
--- /dev/null
+++ b/measure/main.cpp
@@ -0,0 +1,165 @@
+#include <boost/json/serialize.hpp>
+#include <cxxopts.hpp>
+
+#include <exception>
+#include <iostream>
+#include <measure/baseline_proxy.hpp>
+#include <measure/current_proxy.hpp>
+#include <measure/measurements.hpp>
+#include <measure/scenario.hpp>
+#include <measure/simulation.hpp>
+#include <stdexcept>
+
+namespace
+{
+
+using namespace kumquatloom;
+
+constexpr char const* description =
+    "Measures how entry instances treat sick upstreams, in simulated time.\n\n"
+    "One service with 48 entry instances in two regions runs on the project's "
+    "own decision classes (policy current) or on a conventional proxy (policy "
+    "baseline). The fault begins after a third of the duration. The same "
+    "arguments print the same JSON object.\n\n"
+    "detection_ms counts from the beginning of the fault to the first moment "
+    "from which the sick upstream receives, from all instances together, "
+    "under 2% of its fair share for 5 s; the fair share is the mean over all "
+    "upstreams in the same 5 s. An upstream without such a moment is "
+    "undetected. false_ejections and false_avoidances count the times that an "
+    "instance began to eject or avoid a healthy upstream. late_fraction is "
+    "the part of the requests without a complete answer within 250 ms, five "
+    "times the mean service time. min_healthy_fraction is the smallest part "
+    "of the upstreams that no instance ejected, at any time.";
+
+measure::scenario parse_scenario(cxxopts::ParseResult const& parsed)
+{
+    measure::scenario setup;
+    auto const deployment = parsed["deployment"].as<std::string>();
+    if (deployment != "mbao" && deployment != "carrelli")
+        throw std::invalid_argument("unknown deployment '" + deployment + "'");
+    bool const is_mbao = deployment == "mbao";
+    setup.service.expected_upstreams = parsed["upstreams"].as<unsigned>();
+    setup.service.floor = 0.7;
+    setup.service.slots = is_mbao ? 6 : 4;
+    setup.service.detection = is_mbao ? document::detection_level::fast
+                                      : document::detection_level::cautious;
+    setup.fault = measure::parse_fault(parsed["fault"].as<std::string>());
+    setup.victims = parsed["victims"].as<unsigned>();
+    setup.load = parsed["load"].as<double>();
+    setup.seed = parsed["seed"].as<std::uint64_t>();
+    std::chrono::seconds const duration(parsed["duration"].as<unsigned>());
+    setup.fault_at = core::time_point(core::duration(duration) / 3);
+    setup.end = core::time_point(duration);
+    setup.subset = parsed["subset"].as<unsigned>();
+    auto const rule = parsed["choice"].as<std::string>();
+    if (rule == "load")
+        setup.rule = routing::choice_rule::load;
+    else if (rule != "load-and-latency")
+        throw std::invalid_argument("unknown choice '" + rule + "'");
+    return setup;
+}
+
+template <typename Proxy>
+std::vector<measure::measurements> run_all(measure::scenario setup,
+                                           unsigned runs)
+{
+    std::vector<measure::measurements> results;
+    for (unsigned i = 0; i < runs; ++i, ++setup.seed)
+        results.push_back(measure::simulation<Proxy>(setup).run());
+    return results;
+}
+
+int run(int argc, char** argv)
+{
+    cxxopts::Options options("kumquatloom_measure", description);
+    auto const add = [&](char const* name,
+                         char const* text,
+                         auto const& value,
+                         char const* what)
+    {
+        options.add_options()(name, text, value, what);
+    };
+    using text = std::string;
+    add("deployment",
+        "mbao or carrelli",
+        cxxopts::value<text>()->default_value("mbao"),
+        "NAME");
+    add("fault",
+        "none, slow, errors, wrong, flap, one-way, overload, cold-start or "
+        "leaving",
+        cxxopts::value<text>()->default_value("none"),
+        "NAME");
+    add("policy",
+        "baseline or current",
+        cxxopts::value<text>()->default_value("current"),
+        "NAME");
+    add("seed",
+        "seed of the first run",
+        cxxopts::value<std::uint64_t>()->default_value("1"),
+        "N");
+    add("runs",
+        "runs with consecutive seeds; prints median and worst",
+        cxxopts::value<unsigned>()->default_value("1"),
+        "N");
+    add("duration",
+        "simulated seconds of a run",
+        cxxopts::value<unsigned>()->default_value("60"),
+        "S");
+    add("load",
+        "offered load as a fraction of all slots",
+        cxxopts::value<double>()->default_value("0.6"),
+        "X");
+    add("upstreams",
+        "upstreams of the service",
+        cxxopts::value<unsigned>()->default_value("30"),
+        "N");
+    add("victims",
+        "upstreams that the fault happens to",
+        cxxopts::value<unsigned>()->default_value("1"),
+        "N");
+    add("choice",
+        "load-and-latency or load: what the picker compares",
+        cxxopts::value<text>()->default_value("load-and-latency"),
+        "NAME");
+    add("subset",
+        "upstreams that an instance prefers in its domain; 0 for all",
+        cxxopts::value<unsigned>()->default_value("0"),
+        "N");
+    options.add_options()("h,help", "show this help");
+    auto const parsed = options.parse(argc, argv);
+    if (parsed.count("help") != 0)
+    {
+        std::cout << options.help();
+        return 0;
+    }
+    auto const setup = parse_scenario(parsed);
+    auto const runs = parsed["runs"].as<unsigned>();
+    auto const policy = parsed["policy"].as<text>();
+    if (policy != "current" && policy != "baseline")
+        throw std::invalid_argument("unknown policy '" + policy + "'");
+    if (runs == 0)
+        throw std::invalid_argument("--runs must be at least 1");
+    auto const results = policy == "current"
+                             ? run_all<measure::current_proxy>(setup, runs)
+                             : run_all<measure::baseline_proxy>(setup, runs);
+    double const floor = static_cast<double>(setup.service.floor_upstreams()) /
+                         setup.service.expected_upstreams;
+    std::cout << boost::json::serialize(measure::to_json(results, floor))
+              << '\n';
+    return 0;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    try
+    {
+        return run(argc, argv);
+    }
+    catch (std::exception const& error)
+    {
+        std::cerr << "kumquatloom_measure: " << error.what() << '\n';
+        return 2;
+    }
+}
