--- /dev/null
+++ b/unit_tests/request/answer_check_test.cpp
@@ -0,0 +1,128 @@
+#include <kumquatloom/core/digest.hpp>
+#include <kumquatloom/request/answer_check.hpp>
+#include <kumquatloom/request/content_digest.hpp>
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+#include <string>
+#include <vector>
+
+namespace
+{
+
+using namespace kumquatloom;
+using namespace kumquatloom::request;
+using fields = std::vector<header_field>;
+
+core::request_id const id("r-1");
+
+answer_verdict check(fields const& list,
+                     std::string_view body = "body",
+                     unsigned status = 200,
+                     bool to_head = false)
+{
+    return check_answer({to_head, status, list, body}, id);
+}
+
+std::string digest_field(std::string_view body)
+{
+    return "sha-256=:" + core::to_base64(core::as_bytes(core::sha256(body))) +
+           ":";
+}
+
+} // namespace
+
+// Guards against passing on another request's answer or a part of one.
+TEST_CASE("an upstream's answer is verified", "[request]")
+{
+    header_field const echoed{"kumquatloom-request-id", "r-1"};
+    header_field const length{"Content-Length", "4"};
+    auto const digest = digest_field("body");
+
+    SECTION("a complete answer passes, with or without a digest")
+    {
+        CHECK(check({echoed, length}) == answer_verdict::verified);
+        CHECK(check({echoed, length, {"Content-Digest", digest}}) ==
+              answer_verdict::verified);
+        CHECK(check({echoed, length, {"Content-Digest", "sha-512=:YQ==:"}}) ==
+              answer_verdict::verified);
+        CHECK(check({echoed, {"Content-Length", "99"}}, "", 200, true) ==
+              answer_verdict::verified);
+        CHECK(check({echoed}, "", 204) == answer_verdict::verified);
+    }
+
+    SECTION("a missing, wrong or repeated id is refused")
+    {
+        CHECK(check({length}) == answer_verdict::missing_request_id);
+        CHECK(check({length, {"Kumquatloom-Request-Id", "r-2"}}) ==
+              answer_verdict::wrong_request_id);
+        CHECK(check({length, echoed, echoed}) ==
+              answer_verdict::wrong_request_id);
+        CHECK(check_answer({false, 200, {}, ""}, core::request_id()) ==
+              answer_verdict::missing_request_id);
+    }
+
+    SECTION("a missing or wrong length is refused")
+    {
+        CHECK(check({echoed}) == answer_verdict::missing_length);
+        for (auto const text : {"3", "5", "", "+4", "4 ", "4, 4"})
+            CHECK(check({echoed, {"Content-Length", text}}) ==
+                  answer_verdict::wrong_length);
+        CHECK(check({echoed, length, length}) == answer_verdict::wrong_length);
+        CHECK(check({echoed}, "x", 204) == answer_verdict::wrong_length);
+    }
+
+    SECTION("a wrong or malformed digest is refused")
+    {
+        auto const other = digest_field("other");
+        CHECK(check({echoed, length, {"Content-Digest", other}}) ==
+              answer_verdict::wrong_digest);
+        for (std::string const& text : {std::string(),
+                                        std::string("sha-256"),
+                                        std::string("sha-256=::"),
+                                        std::string("sha-256=:YQ==:"),
+                                        std::string("sha-256=:YR==:"),
+                                        "SHA-256" + digest.substr(7),
+                                        digest + ",",
+                                        digest + ", " + digest,
+                                        digest + ";x",
+                                        digest.substr(0, digest.size() - 1),
+                                        "sha-256=\"" + digest.substr(9)})
+        {
+            CAPTURE(text);
+            CHECK(check({echoed, length, {"Content-Digest", text}}) ==
+                  answer_verdict::malformed_digest);
+        }
+    }
+
+    SECTION("a refusal counts only in a verified answer")
+    {
+        header_field const refusal{"Kumquatloom-Outcome", "not-run"};
+        CHECK(check({echoed, length, refusal}, "body", 503) ==
+              answer_verdict::refused);
+        CHECK(check({echoed, length, refusal}, "body", 500) ==
+              answer_verdict::verified);
+        CHECK(check({echoed, length}, "body", 503) == answer_verdict::verified);
+        CHECK(check({length, refusal}, "body", 503) ==
+              answer_verdict::missing_request_id);
+    }
+
+    rc::prop(
+        "an answer that lost bytes or was changed is refused",
+        [&]
+        {
+            auto const body = *rc::gen::nonEmpty<std::string>();
+            auto const size = std::to_string(body.size());
+            auto const stated = digest_field(body);
+            fields const list = {
+                echoed, {"Content-Length", size}, {"Content-Digest", stated}};
+            RC_ASSERT(check(list, body) == answer_verdict::verified);
+            auto const at = *rc::gen::inRange<std::size_t>(0, body.size());
+            auto changed = body;
+            changed[at] = static_cast<char>(changed[at] ^ 1);
+            RC_ASSERT(check(list, changed) == answer_verdict::wrong_digest);
+            RC_ASSERT(check(list, body.substr(0, at)) ==
+                      answer_verdict::wrong_length);
+        });
+}
