Let the decision packages decide about requests

The handler had rules of its own for credentials, routes, picks, retries and the verification of answers. They are replaced by admission_gate, picker, retry_decider, hedge_decider, check_answer, ticket_decider, rate_share, load_shedder, deadline_admission, concurrency_limit and fair_queue. proxy_handler::answer shows the path of a request from top to bottom; request_run makes its attempts.

An answer that only the end of the connection ends is accepted if its digest matches, since nothing else shows that it is whole. A caller that disconnects does not end a request with a ticket: it can ask for the answer by the ticket.

--- a/kumquatloom/entry/call.hpp
+++ b/kumquatloom/entry/call.hpp
@@ -1,12 +1,15 @@
 #ifndef KUMQUATLOOM_ENTRY_CALL_HPP
 #define KUMQUATLOOM_ENTRY_CALL_HPP
 
+#include <kumquatloom/admission/request_facts.hpp>
 #include <kumquatloom/core/clock.hpp>
+#include <kumquatloom/entry/cancellation.hpp>
 #include <kumquatloom/entry/http_types.hpp>
-#include <kumquatloom/entry/interruption.hpp>
 #include <kumquatloom/entry/memory_account.hpp>
 
-#include <utility>
+#include <cstdint>
+#include <optional>
+#include <vector>
 
 namespace kumquatloom::entry
 {
@@ -15,52 +18,37 @@
 class call
 {
 public:
-    /// A request that was received completely at `when`.
-    call(http_request given, core::time_point when)
-        : request(std::move(given))
-        , received(when)
-    {
-    }
+    /// A request that was received completely at `when`. `length` is the
+    /// length of the body as the header states it.
+    call(http_request given,
+         std::optional<std::uint64_t> length,
+         core::time_point when);
 
-    /// Names something that the call waits for from now on.
-    void wait_for(interruption& item)
-    {
-        waits_.push_back(item);
-    }
-
-    /// Gives up, since the caller has gone away: ends every wait.
-    void cancel()
-    {
-        cancelled_ = true;
-        // An interruption may unlink itself or others.
-        while (!waits_.empty())
-        {
-            auto& item = waits_.front();
-            waits_.pop_front();
-            item();
-        }
-    }
+    call(call const&) = delete;
+    call& operator=(call const&) = delete;
 
-    /// Whether the caller has gone away.
-    bool cancelled() const
+    /// The header, whose views point into the request.
+    admission::request_facts const& facts() const
     {
-        return cancelled_;
+        return facts_;
     }
 
     /// The request as it was received.
     http_request const request;
     /// When the last byte of the request was read.
     core::time_point const received;
-    /// Time spent in attempts.
+    /// Time from the start of the first attempt to the end of the last.
     core::duration attempts{};
     /// The memory of the answer until it is written.
     memory_account::reservation memory;
+    /// Requested when the caller goes away.
+    cancellation caller_left;
 
 private:
-    /// What the call waits for.
-    interruption_list waits_;
-    /// Whether the caller has gone away.
-    bool cancelled_ = false;
+    /// Views of the header fields.
+    std::vector<admission::header_field> const fields_;
+    /// The header.
+    admission::request_facts facts_;
 };
 
 } // namespace kumquatloom::entry
--- a/kumquatloom/entry/caller_session.cpp
+++ b/kumquatloom/entry/caller_session.cpp
@@ -2,6 +2,7 @@
 #include <kumquatloom/entry/caller_session.hpp>
 #include <kumquatloom/entry/instance_state.hpp>
 #include <kumquatloom/entry/proxy_handler.hpp>
+#include <kumquatloom/request/header_names.hpp>
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
@@ -11,6 +12,8 @@
 #include <boost/beast/http/write.hpp>
 
 #include <array>
+#include <cstdint>
+#include <optional>
 #include <utility>
 
 namespace kumquatloom::entry
@@ -26,15 +29,15 @@
 constexpr std::chrono::seconds linger_time{1};
 constexpr std::size_t linger_bytes = 256 * 1024;
 
-answer_reason reason_of(error_code error)
+using admission::refusal_reason;
+
+refusal_reason reason_of(error_code error)
 {
-    if (error == beast::error::timeout)
-        return answer_reason::request_timeout;
     if (error == http::error::body_limit)
-        return answer_reason::body_too_large;
+        return refusal_reason::body_too_large;
     if (error == http::error::header_limit)
-        return answer_reason::header_too_large;
-    return answer_reason::malformed_request;
+        return refusal_reason::header_too_large;
+    return refusal_reason::malformed_request;
 }
 
 /// Whether the error is a fault of the request and not of the connection.
@@ -127,7 +130,7 @@
     bool const complete = co_await read_request(parser);
     if (!complete)
         co_return false;
-    co_return co_await answer(parser.release());
+    co_return co_await answer(parser);
 }
 
 asio::awaitable<bool> caller_session::wait_for_request()
@@ -162,7 +165,7 @@
         error = body_error;
     }
     if (error)
-        co_await refuse(error);
+        co_await refuse(error, parser);
     co_return !error;
 }
 
@@ -176,20 +179,23 @@
     co_return !error;
 }
 
-asio::awaitable<bool> caller_session::answer(http_request request)
+asio::awaitable<bool> caller_session::answer(parser_type& parser)
 {
     state_.events.increment(entry_event::request_received);
     in_flight_scope const counted(state_);
-    bool const keep_alive = request.keep_alive();
-    bool const without_body = request.method() == http::verb::head;
-    call current(std::move(request), core::clock::now());
+    bool const keep_alive = parser.keep_alive();
+    std::optional<std::uint64_t> length;
+    if (parser.content_length())
+        length = *parser.content_length();
+    call current(parser.release(), length, core::clock::now());
+    bool const without_body = current.request.method() == http::verb::head;
     watch_for_disconnect(current);
     auto response = co_await handler_.answer(current);
     current_ = nullptr;
     // Ends the wait for a disconnect.
     error_code ignored;
     stream_.socket().cancel(ignored);
-    if (current.cancelled())
+    if (current.caller_left.requested())
         co_return false;
     // The length stays that of the body that GET would get.
     if (without_body)
@@ -215,15 +221,21 @@
     co_return !error && more;
 }
 
-asio::awaitable<void> caller_session::refuse(error_code error)
+asio::awaitable<void> caller_session::refuse(error_code error,
+                                             parser_type const& parser)
 {
-    bool const slow = error == beast::error::timeout;
-    if (!slow && !is_parse_error(error))
+    // The stream has closed the socket of a caller that is too slow.
+    if (error == beast::error::timeout)
+        state_.events.increment(entry_event::caller_too_slow);
+    if (!is_parse_error(error))
         co_return;
-    auto response = handler_.refuse(reason_of(error));
-    // The stream closes the socket of a caller that is too slow.
-    if (!slow)
-        co_await write(response, false);
+    bool const has_ticket =
+        parser.get().count(request::header_names::ticket) != 0;
+    auto response =
+        handler_.refuse(reason_of(error),
+                        has_ticket ? admission::ticket_presence::present
+                                   : admission::ticket_presence::absent);
+    co_await write(response, false);
 }
 
 asio::awaitable<void> caller_session::close()
@@ -265,7 +277,7 @@
                 return;
             }
             self->state_.events.increment(entry_event::caller_disconnected);
-            watched->cancel();
+            watched->caller_left.request();
         });
 }
 
--- a/kumquatloom/entry/caller_session.hpp
+++ b/kumquatloom/entry/caller_session.hpp
@@ -1,7 +1,6 @@
 #ifndef KUMQUATLOOM_ENTRY_CALLER_SESSION_HPP
 #define KUMQUATLOOM_ENTRY_CALLER_SESSION_HPP
 
-#include <kumquatloom/entry/answer_reason.hpp>
 #include <kumquatloom/entry/http_types.hpp>
 
 #include <boost/beast/core/flat_buffer.hpp>
@@ -54,9 +53,9 @@
     asio::awaitable<bool> wait_for_request();
     asio::awaitable<bool> read_request(parser_type& parser);
     asio::awaitable<bool> allow_body(parser_type& parser);
-    asio::awaitable<bool> answer(http_request request);
+    asio::awaitable<bool> answer(parser_type& parser);
     asio::awaitable<bool> write(http_response& response, bool keep_alive);
-    asio::awaitable<void> refuse(error_code error);
+    asio::awaitable<void> refuse(error_code error, parser_type const& parser);
     asio::awaitable<void> close();
     void watch_for_disconnect(call& current);
 
--- /dev/null
+++ b/kumquatloom/entry/entries_page.hpp
@@ -0,0 +1,24 @@
+#ifndef KUMQUATLOOM_ENTRY_ENTRIES_PAGE_HPP
+#define KUMQUATLOOM_ENTRY_ENTRIES_PAGE_HPP
+
+#include <kumquatloom/core/ids.hpp>
+
+#include <cstddef>
+#include <string>
+
+namespace kumquatloom::entry
+{
+
+struct instance_state;
+
+/// The answer to a caller that asks which instances to use, as JSON.
+std::string entries_page(instance_state& state,
+                         core::organisation_name const& organisation);
+
+/// The answer to a caller that asks for tickets, as JSON.
+std::string tickets_page(instance_state& state,
+                         core::organisation_name const& organisation);
+
+} // namespace kumquatloom::entry
+
+#endif
--- a/kumquatloom/entry/entry_event.cpp
+++ b/kumquatloom/entry/entry_event.cpp
@@ -8,37 +8,35 @@
     switch (event)
     {
     case entry_event::caller_accepted:
-        return "caller_accepted";
+        return "caller-accepted";
     case entry_event::caller_refused:
-        return "caller_refused";
+        return "caller-refused";
     case entry_event::caller_disconnected:
-        return "caller_disconnected";
+        return "caller-disconnected";
+    case entry_event::caller_too_slow:
+        return "caller-too-slow";
     case entry_event::request_received:
-        return "request_received";
-    case entry_event::request_completed:
-        return "request_completed";
+        return "request-received";
     case entry_event::attempt_started:
-        return "attempt_started";
-    case entry_event::attempt_retried:
-        return "attempt_retried";
+        return "attempt-started";
     case entry_event::upstream_connected:
-        return "upstream_connected";
+        return "upstream-connected";
     case entry_event::upstream_reused:
-        return "upstream_reused";
+        return "upstream-reused";
     case entry_event::upstream_stale:
-        return "upstream_stale";
+        return "upstream-stale";
     case entry_event::upstream_leftover:
-        return "upstream_leftover";
+        return "upstream-leftover";
     case entry_event::late_answer:
-        return "late_answer";
-    case entry_event::wrong_answer:
-        return "wrong_answer";
+        return "late-answer";
     case entry_event::exchange_cancelled:
-        return "exchange_cancelled";
+        return "exchange-cancelled";
+    case entry_event::ticket_forwarded:
+        return "ticket-forwarded";
     case entry_event::list_read:
-        return "list_read";
+        return "list-read";
     case entry_event::list_failed:
-        return "list_failed";
+        return "list-failed";
     case entry_event::count:
         break;
     }
--- a/kumquatloom/entry/entry_instance.cpp
+++ b/kumquatloom/entry/entry_instance.cpp
@@ -1,15 +1,18 @@
+#include <kumquatloom/core/digest.hpp>
 #include <kumquatloom/core/logging.hpp>
 #include <kumquatloom/entry/drain_controller.hpp>
 #include <kumquatloom/entry/entry_instance.hpp>
 #include <kumquatloom/entry/instance_state.hpp>
 #include <kumquatloom/entry/list_poller.hpp>
 #include <kumquatloom/entry/operator_server.hpp>
+#include <kumquatloom/entry/service_control.hpp>
 #include <kumquatloom/entry/worker.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <csignal>
 #include <thread>
@@ -27,6 +30,18 @@
     return {asio::ip::make_address(address.host), address.port};
 }
 
+/// The start time in milliseconds shifted left by 16 bits plus 16 random bits.
+core::incarnation new_incarnation()
+{
+    constexpr unsigned random_bits = 16;
+    auto const since_epoch =
+        std::chrono::duration_cast<std::chrono::milliseconds>(
+            std::chrono::system_clock::now().time_since_epoch());
+    return (static_cast<core::incarnation>(since_epoch.count())
+            << random_bits) |
+           (core::random_u64() & ((1U << random_bits) - 1));
+}
+
 } // namespace
 
 /// Everything that an instance owns.
@@ -34,7 +49,7 @@
 {
 public:
     parts(settings::instance_settings settings, std::chrono::milliseconds grace)
-        : state(std::move(settings))
+        : state(std::move(settings), new_incarnation())
         , drain(context,
                 state,
                 grace,
@@ -44,7 +59,14 @@
                 })
         , operators(
               context, state, drain, to_tcp(state.settings.listen.operators))
-        , poller(context, state)
+        , poller(context,
+                 state,
+                 [this]
+                 {
+                     control.refresh(core::clock::now());
+                 })
+        , control(state)
+        , tick_timer(context)
         , signals(context)
     {
         add_workers();
@@ -89,6 +111,7 @@
     {
         asio::co_spawn(context, operators.run(), asio::detached);
         asio::co_spawn(context, poller.run(), asio::detached);
+        asio::co_spawn(context, tick(), asio::detached);
         for (auto const& item : workers)
             item->start();
         thread = std::thread(
@@ -106,9 +129,35 @@
         close_control();
     }
 
+    /// Puts a document in force.
+    void publish(boost::intrusive_ptr<document::document const> next)
+    {
+        auto const now = core::clock::now();
+        state.document.publish(next);
+        control.refresh(now);
+        state.rates.rebase(*next, now);
+        // The gate comes last: it admits requests to the services above.
+        state.gate.publish(*next);
+    }
+
+    /// Evaluates evidence and limits again and again.
+    asio::awaitable<void> tick()
+    {
+        while (!closing)
+        {
+            auto const now = core::clock::now();
+            control.tick(now);
+            state.rates.refresh(now);
+            tick_timer.expires_after(health::health_monitor::tick_interval);
+            co_await tick_timer.async_wait(as_result);
+        }
+    }
+
     /// Ends the control thread's own work.
     void close_control()
     {
+        closing = true;
+        tick_timer.cancel();
         operators.close();
         poller.stop();
         signals.cancel();
@@ -148,6 +197,12 @@
     operator_server operators;
     /// Reads the platform's list.
     list_poller poller;
+    /// Keeps the services up to date.
+    service_control control;
+    /// Paces tick().
+    asio::steady_timer tick_timer;
+    /// Whether the control thread ends.
+    bool closing = false;
     /// SIGTERM and SIGINT, if asked for.
     asio::signal_set signals;
     /// The threads that serve callers.
@@ -173,7 +228,11 @@
 void entry_instance::publish(
     boost::intrusive_ptr<document::document const> document)
 {
-    parts_->state.document.publish(std::move(document));
+    asio::post(parts_->context,
+               [this, next = std::move(document)]
+               {
+                   parts_->publish(next);
+               });
 }
 
 void entry_instance::leave_on_signals()
--- a/kumquatloom/entry/instance_state.hpp
+++ b/kumquatloom/entry/instance_state.hpp
@@ -1,15 +1,27 @@
 #ifndef KUMQUATLOOM_ENTRY_INSTANCE_STATE_HPP
 #define KUMQUATLOOM_ENTRY_INSTANCE_STATE_HPP
 
+#include <kumquatloom/admission/admission_gate.hpp>
 #include <kumquatloom/core/clock.hpp>
 #include <kumquatloom/core/counter_family.hpp>
 #include <kumquatloom/core/rcu_cell.hpp>
 #include <kumquatloom/document/document.hpp>
-#include <kumquatloom/entry/answer_reason.hpp>
 #include <kumquatloom/entry/entry_event.hpp>
 #include <kumquatloom/entry/instance_list.hpp>
 #include <kumquatloom/entry/latency_histogram.hpp>
 #include <kumquatloom/entry/memory_account.hpp>
+#include <kumquatloom/entry/rate_limiter.hpp>
+#include <kumquatloom/entry/service_state.hpp>
+#include <kumquatloom/limits/load_shedder.hpp>
+#include <kumquatloom/limits/retry_budget.hpp>
+#include <kumquatloom/request/answer_verdict.hpp>
+#include <kumquatloom/request/hedge_decider.hpp>
+#include <kumquatloom/request/retry_counters.hpp>
+#include <kumquatloom/request/retry_decider.hpp>
+#include <kumquatloom/request/ticket_decider.hpp>
+#include <kumquatloom/request/ticket_issuer.hpp>
+#include <kumquatloom/request/ticket_keys.hpp>
+#include <kumquatloom/request/ticket_table.hpp>
 #include <kumquatloom/settings/instance_settings.hpp>
 
 #include <atomic>
@@ -23,12 +35,11 @@
 /// counters and atomics. No member needs a lock.
 struct instance_state
 {
-    /// Starts with the settings and without a document or a list.
-    explicit instance_state(settings::instance_settings given)
-        : settings(std::move(given))
-        , buffered_answers(settings.memory.buffered_answers_bytes)
-    {
-    }
+    /// Starts with the settings and without a document or a list. The
+    /// incarnation must be higher than every earlier one of the instance.
+    instance_state(settings::instance_settings given,
+                   core::incarnation start_number);
+    ~instance_state();
 
     /// The callers' address in use.
     settings::endpoint callers_address() const
@@ -44,14 +55,40 @@
 
     /// The settings of the instance.
     settings::instance_settings const settings;
+    /// Distinguishes this start of the instance from earlier ones.
+    core::incarnation const incarnation;
     /// When the instance started.
     core::time_point const started = core::clock::now();
     /// The document in force.
     core::rcu_cell<document::document> document;
     /// The last reading of the platform's list.
     core::rcu_cell<instance_list> instances;
-    /// Answers of the system itself by reason.
-    core::counter_family<answer_reason> reasons;
+    /// The services of the document.
+    core::rcu_cell<service_table> services;
+    /// Decides which requests are served, and counts refusals.
+    admission::admission_gate gate;
+    /// Shares of the rate limits.
+    rate_limiter rates;
+    /// Bounds the requests in the instance.
+    limits::load_shedder shedder;
+    /// Counters about attempts.
+    request::retry_counters retry_counters;
+    /// Pays for attempts after the first.
+    limits::retry_budget retry_budget;
+    /// Decides about another attempt after a failed one.
+    request::retry_decider const retries;
+    /// Decides about a second attempt beside the first.
+    request::hedge_decider const hedging;
+    /// Sign and verify tickets.
+    request::ticket_keys const ticket_keys;
+    /// Issues tickets.
+    request::ticket_issuer ticket_issuer;
+    /// Which tickets were used, and the answers to them.
+    request::ticket_table ticket_table;
+    /// Decides who runs a request with a ticket.
+    request::ticket_decider tickets;
+    /// What the verification of answers found.
+    core::counter_family<request::answer_verdict> verdicts;
     /// Everything else that is counted.
     core::counter_family<entry_event> events;
     /// Bytes of buffered answers.
--- a/kumquatloom/entry/list_poller.cpp
+++ b/kumquatloom/entry/list_poller.cpp
@@ -8,6 +8,8 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <utility>
+
 namespace kumquatloom::entry
 {
 
@@ -21,8 +23,11 @@
 
 } // namespace
 
-list_poller::list_poller(asio::io_context& context, instance_state& state)
-    : state_(state)
+list_poller::list_poller(asio::io_context& context,
+                         instance_state& state,
+                         std::function<void()> published)
+    : published_(std::move(published))
+    , state_(state)
     , stream_(context)
     , timer_(context)
 {
@@ -58,6 +63,7 @@
     if (!faults.empty())
         co_return false;
     state_.instances.publish(std::move(list));
+    published_();
     co_return true;
 }
 
--- a/kumquatloom/entry/list_poller.hpp
+++ b/kumquatloom/entry/list_poller.hpp
@@ -6,6 +6,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <functional>
 #include <optional>
 #include <string>
 
@@ -19,8 +20,11 @@
 class list_poller
 {
 public:
-    /// Polls with the settings of the instance.
-    list_poller(asio::io_context& context, instance_state& state);
+    /// Polls with the settings of the instance; calls `published` after each
+    /// successful reading.
+    list_poller(asio::io_context& context,
+                instance_state& state,
+                std::function<void()> published);
 
     /// Polls until stop().
     asio::awaitable<void> run();
@@ -33,6 +37,8 @@
     asio::awaitable<std::optional<std::string>> fetch();
     void report(bool reachable);
 
+    /// Called after each successful reading.
+    std::function<void()> published_;
     /// What all threads share.
     instance_state& state_;
     /// The connection to the platform.
--- a/kumquatloom/entry/metrics_page.cpp
+++ b/kumquatloom/entry/metrics_page.cpp
@@ -12,8 +12,18 @@
 
 void metrics_page::add(instance_state const& state)
 {
-    add("kumquatloom_refusals_total", "reason", state.reasons);
+    add("kumquatloom_refusals_total", "reason", state.gate.refusals());
+    add("kumquatloom_retries_total", "reason", state.retry_counters.retries);
+    add("kumquatloom_retries_denied_total",
+        "reason",
+        state.retry_counters.denied);
+    add("kumquatloom_outcomes_total", "outcome", state.retry_counters.outcomes);
+    add("kumquatloom_attempts_total", "sent", state.retry_counters.attempts);
+    add("kumquatloom_answer_checks_total", "verdict", state.verdicts);
+    add("kumquatloom_tickets_total", "action", state.tickets.counters());
+    add("kumquatloom_shed_total", "priority", state.shedder.shed());
     add("kumquatloom_events_total", "event", state.events);
+    add_services(state);
     add_gauge("kumquatloom_caller_connections", state.caller_connections);
     add_gauge("kumquatloom_requests_in_flight", state.requests_in_flight);
     add_gauge("kumquatloom_buffered_answers_bytes",
@@ -26,6 +36,23 @@
     state.added_latency.write("kumquatloom_added_seconds", text_);
 }
 
+void metrics_page::add_services(instance_state const& state)
+{
+    auto const table = state.services.read();
+    if (!table)
+        return;
+    type("kumquatloom_picks_total", "counter");
+    for (auto const& [name, service] : table->services)
+        add_values("kumquatloom_picks_total{service=\"" + name.value() +
+                       "\",spill",
+                   service->picker.spills());
+    type("kumquatloom_pick_errors_total", "counter");
+    for (auto const& [name, service] : table->services)
+        add_values("kumquatloom_pick_errors_total{service=\"" + name.value() +
+                       "\",error",
+                   service->picker.errors());
+}
+
 void metrics_page::type(std::string_view name, std::string_view type)
 {
     text_.append("# TYPE ").append(name).append(" ").append(type).append("\n");
--- a/kumquatloom/entry/metrics_page.hpp
+++ b/kumquatloom/entry/metrics_page.hpp
@@ -23,13 +23,7 @@
              core::counter_family<Reason> const& family)
     {
         type(name, "counter");
-        for (std::size_t index = 0; index < family.size; ++index)
-        {
-            auto const reason = static_cast<Reason>(index);
-            text_.append(name).append("{").append(label).append("=\"");
-            text_.append(to_string(reason)).append("\"} ");
-            text_.append(std::to_string(family.value(reason))).append("\n");
-        }
+        add_values(std::string(name) + '{' + std::string(label), family);
     }
 
     /// Adds a number that rises and falls.
@@ -45,6 +39,22 @@
     }
 
 private:
+    /// Adds the lines of a family after `start`, which ends with the name of
+    /// the label.
+    template <core::countable_enum Reason>
+    void add_values(std::string const& start,
+                    core::counter_family<Reason> const& family)
+    {
+        for (std::size_t index = 0; index < family.size; ++index)
+        {
+            auto const reason = static_cast<Reason>(index);
+            text_.append(start).append("=\"").append(to_string(reason));
+            text_.append("\"} ").append(std::to_string(family.value(reason)));
+            text_.append("\n");
+        }
+    }
+
+    void add_services(instance_state const& state);
     void type(std::string_view name, std::string_view type);
 
     /// What was added so far.
--- /dev/null
+++ b/kumquatloom/entry/slot_queue.hpp
@@ -0,0 +1,104 @@
+#ifndef KUMQUATLOOM_ENTRY_SLOT_QUEUE_HPP
+#define KUMQUATLOOM_ENTRY_SLOT_QUEUE_HPP
+
+#include <kumquatloom/admission/refusal_reason.hpp>
+#include <kumquatloom/core/ids.hpp>
+#include <kumquatloom/core/result.hpp>
+#include <kumquatloom/entry/cancellation.hpp>
+#include <kumquatloom/entry/http_types.hpp>
+#include <kumquatloom/entry/service_state.hpp>
+#include <kumquatloom/limits/fair_queue.hpp>
+#include <kumquatloom/request/deadline.hpp>
+#include <kumquatloom/routing/pick.hpp>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/smart_ptr/intrusive_ptr.hpp>
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
+
+#include <optional>
+
+namespace kumquatloom::entry
+{
+
+/// The requests of one worker that wait for a free slot at an upstream of one
+/// service. Organisations are served in turn.
+class slot_queue
+    : public boost::intrusive_ref_counter<slot_queue,
+                                          boost::thread_unsafe_counter>
+{
+public:
+    /// A chosen upstream, or why the request is refused.
+    using result = core::result<routing::pick, admission::refusal_reason>;
+
+    /// Who waits, and how long.
+    struct waiting_request
+    {
+        /// For whom the request is made.
+        core::organisation_name const& organisation;
+        /// What is asked of the picker.
+        routing::pick_request choice;
+        /// When the request is worth nothing any more.
+        request::deadline until;
+        /// Ends the wait before.
+        cancellation& ended;
+    };
+
+    /// A queue of the worker that runs the context.
+    slot_queue(asio::io_context& context,
+               boost::intrusive_ptr<service_state> service);
+
+    /// Chooses an upstream, at once or as soon as one has a free slot.
+    asio::awaitable<result> take(waiting_request wanted);
+
+    /// Gives free slots to those that wait.
+    void pump();
+
+    /// The service.
+    service_state& service() const
+    {
+        return *service_;
+    }
+
+private:
+    /// A request that waits.
+    struct waiter
+        : boost::intrusive_ref_counter<waiter, boost::thread_unsafe_counter>
+    {
+        explicit waiter(asio::io_context& context)
+            : timer(context)
+        {
+        }
+
+        /// Ends the wait.
+        asio::steady_timer timer;
+        /// The upstream that was found.
+        std::optional<routing::pick> found;
+        /// Whether another organisation's request took the place.
+        bool displaced = false;
+        /// Whether the request has stopped waiting.
+        bool gone = false;
+    };
+
+    using waiter_pointer = boost::intrusive_ptr<waiter>;
+
+    std::optional<result> take_now(waiting_request const& wanted);
+    asio::awaitable<result> wait(waiting_request wanted);
+    void schedule();
+    static void wake(waiter& item);
+
+    /// Runs the timers.
+    asio::io_context& context_;
+    /// The service.
+    boost::intrusive_ptr<service_state> service_;
+    /// Those that wait.
+    limits::fair_queue<waiter_pointer> queue_;
+    /// Looks for slots that other workers or time have freed.
+    asio::steady_timer timer_;
+    /// Whether the timer runs.
+    bool scheduled_ = false;
+};
+
+} // namespace kumquatloom::entry
+
+#endif
--- /dev/null
+++ b/kumquatloom/entry/slot_queues.cpp
@@ -0,0 +1,28 @@
+#include <kumquatloom/entry/instance_state.hpp>
+#include <kumquatloom/entry/slot_queues.hpp>
+
+namespace kumquatloom::entry
+{
+
+slot_queues::slot_queues(asio::io_context& context, instance_state& state)
+    : context_(context)
+    , state_(state)
+{
+}
+
+boost::intrusive_ptr<slot_queue>
+slot_queues::of(core::service_name const& service)
+{
+    auto const table = state_.services.read();
+    if (!table)
+        return nullptr;
+    auto const found = table->services.find(service);
+    if (found == table->services.end())
+        return nullptr;
+    auto& queue = queues_[service];
+    if (!queue || &queue->service() != found->second.get())
+        queue = new slot_queue(context_, found->second);
+    return queue;
+}
+
+} // namespace kumquatloom::entry
--- a/kumquatloom/entry/status_page.cpp
+++ b/kumquatloom/entry/status_page.cpp
@@ -4,6 +4,9 @@
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 
+#include <map>
+#include <string>
+
 namespace kumquatloom::entry
 {
 
@@ -18,16 +21,29 @@
     if (!list)
         return part;
     part["entries"] = list->entries.size();
-    boost::json::object services;
-    for (auto const& [service, upstreams] : list->upstreams)
+    return part;
+}
+
+/// How the upstreams of each service stand.
+boost::json::object services_part(instance_state const& state,
+                                  core::time_point now)
+{
+    boost::json::object part;
+    auto const services = state.services.read();
+    if (!services)
+        return part;
+    for (auto const& [name, service] : services->services)
     {
-        std::size_t leaving = 0;
-        for (auto const& upstream : upstreams)
-            leaving += upstream.leaving ? 1 : 0;
-        services[service.value()] = {{"upstreams", upstreams.size()},
-                                     {"leaving", leaving}};
+        std::map<std::string, unsigned> standings;
+        auto const table = service->picker.table();
+        for (auto const& entry : table->entries())
+            ++standings[std::string(to_string(entry.object->standing(now)))];
+        boost::json::object numbers;
+        for (auto const& [standing, count] : standings)
+            numbers[standing] = count;
+        numbers["waiting"] = service->waiting.load();
+        part[name.value()] = std::move(numbers);
     }
-    part["services"] = std::move(services);
     return part;
 }
 
@@ -53,10 +69,13 @@
     page["buffered_answers_bytes"] = state.buffered_answers.used();
     page["requests_received"] =
         state.events.value(entry_event::request_received);
-    page["requests_completed"] =
-        state.events.value(entry_event::request_completed);
-    page["refusals"] = state.reasons.total();
+    auto const& outcomes = state.retry_counters.outcomes;
+    page["requests_completed"] = outcomes.value(request::outcome::completed);
+    page["requests_not_run"] = outcomes.value(request::outcome::not_run);
+    page["requests_unknown"] = outcomes.value(request::outcome::unknown);
+    page["refusals"] = state.gate.refusals().total();
     page["instance_list"] = list_part(state);
+    page["services"] = services_part(state, core::clock::now());
     return boost::json::serialize(page) + '\n';
 }
 
--- a/kumquatloom/entry/system_answer.cpp
+++ b/kumquatloom/entry/system_answer.cpp
@@ -1,20 +1,23 @@
-#include <kumquatloom/entry/header_names.hpp>
 #include <kumquatloom/entry/system_answer.hpp>
+#include <kumquatloom/request/header_names.hpp>
+
+#include <utility>
 
 namespace kumquatloom::entry
 {
 
-http_response system_answer(answer_reason reason, execution known)
+http_response system_answer(admission::refusal_reason reason,
+                            request::outcome outcome)
 {
-    std::string const outcome =
-        known == execution::not_run ? "not-run" : "unknown";
+    namespace names = request::header_names;
+    std::string const known(to_string(outcome));
     std::string const name(to_string(reason));
     auto answer = json_answer(http::int_to_status(http_status(reason)),
-                              R"({"outcome":")" + outcome + R"(","reason":")" +
+                              R"({"outcome":")" + known + R"(","reason":")" +
                                   name + "\"}\n");
-    answer.set(outcome_header, outcome);
-    answer.set(reason_header, name);
-    if (reason == answer_reason::unauthenticated)
+    answer.set(names::outcome, known);
+    answer.set(names::reason, name);
+    if (answer.result() == http::status::unauthorized)
         answer.set(http::field::www_authenticate, "Bearer");
     return answer;
 }
--- a/kumquatloom/entry/upstream_exchange.cpp
+++ b/kumquatloom/entry/upstream_exchange.cpp
@@ -1,8 +1,13 @@
+#include <kumquatloom/admission/header_filter.hpp>
 #include <kumquatloom/core/digest.hpp>
-#include <kumquatloom/entry/forwarded_headers.hpp>
-#include <kumquatloom/entry/header_names.hpp>
+#include <kumquatloom/core/mutation.hpp>
+#include <kumquatloom/entry/call.hpp>
+#include <kumquatloom/entry/header_views.hpp>
 #include <kumquatloom/entry/instance_state.hpp>
 #include <kumquatloom/entry/upstream_exchange.hpp>
+#include <kumquatloom/request/answer_check.hpp>
+#include <kumquatloom/request/content_digest.hpp>
+#include <kumquatloom/request/header_names.hpp>
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
@@ -21,63 +26,58 @@
 namespace
 {
 
+namespace names = request::header_names;
+
 /// Largest header of an upstream's answer.
 constexpr std::uint32_t answer_header_limit = 64 * 1024;
 
 /// A request id that no other process uses: a random part for the process
 /// and a number for the attempt.
-std::string next_request_id()
+core::request_id next_request_id()
 {
     static std::string const process = std::to_string(core::random_u64());
     static std::atomic<std::uint64_t> attempts{0};
-    return process + '-' +
-           std::to_string(attempts.fetch_add(1, std::memory_order_relaxed));
+    auto const number = attempts.fetch_add(1, std::memory_order_relaxed);
+    return core::request_id(process + '-' + std::to_string(number));
 }
 
-/// The digest of a Content-Digest header, or nothing if it has no SHA-256.
-std::optional<std::string> sha256_of_header(std::string_view text)
+/// Whether the error is the parser's and not the connection's.
+bool is_parse_error(error_code error)
 {
-    constexpr std::string_view start = "sha-256=:";
-    auto const from = text.find(start);
-    if (from == std::string_view::npos)
-        return std::nullopt;
-    auto const begin = from + start.size();
-    auto const end = text.find(':', begin);
-    if (end == std::string_view::npos)
-        return std::string();
-    return core::from_base64(text.substr(begin, end - begin))
-        .value_or(std::string());
+    return error != http::error::end_of_stream &&
+           error != http::error::partial_message &&
+           error.category() ==
+               make_error_code(http::error::end_of_stream).category();
+}
+
+/// Whether the answer states a SHA-256 digest of its body.
+bool has_digest(http_response const& answer)
+{
+    auto const header = answer["Content-Digest"];
+    auto const digest = request::parse_content_digest(as_view(header));
+    return digest && digest->sha256;
 }
 
 } // namespace
 
-upstream_exchange::upstream_exchange(
-    instance_state& state,
-    call& owner,
-    core::organisation_name const& organisation,
-    core::time_point deadline)
+upstream_exchange::upstream_exchange(instance_state& state, task const& given)
     : state_(state)
-    , call_(owner)
-    , organisation_(organisation)
-    , deadline_(deadline)
+    , task_(given)
     , id_(next_request_id())
 {
 }
 
-asio::awaitable<attempt> upstream_exchange::run(upstream_pool& pool)
+asio::awaitable<exchange_result> upstream_exchange::run(upstream_pool& pool)
 {
-    auto const start = core::clock::now();
     state_.events.increment(entry_event::attempt_started);
-    auto lease = co_await pool.acquire(call_, deadline_);
+    auto lease = co_await pool.acquire(task_.ended, task_.until.at());
     if (lease)
         co_await exchange(lease.value());
     else
         fail(lease.error());
-    attempt_.latency = core::clock::now() - start;
-    state_.attempt_latency.record(attempt_.latency);
-    if (attempt_.cancelled)
+    if (task_.ended.requested())
         state_.events.increment(entry_event::exchange_cancelled);
-    co_return std::move(attempt_);
+    co_return std::move(result_);
 }
 
 asio::awaitable<void> upstream_exchange::exchange(upstream_pool::lease& lease)
@@ -89,13 +89,20 @@
         {
             connection.close();
         });
-    call_.wait_for(on_cancel);
+    task_.ended.wait_for(on_cancel);
     bool const written = co_await write(connection);
     if (!written)
         co_return;
     parser_type parser;
     bool const complete = co_await read(connection, parser);
-    if (!complete || !accept(parser))
+    result_.latency = core::clock::now() - sent_at_;
+    if (!complete)
+    {
+        if (core::is_mutated(core::mutation::reuse_connection_after_timeout))
+            lease.give_back();
+        co_return;
+    }
+    if (!accept(parser))
         co_return;
     // A connection is kept only after a whole exchange without leftovers.
     if (parser.keep_alive() && connection.quiet())
@@ -106,22 +113,21 @@
 
 asio::awaitable<bool> upstream_exchange::write(upstream_connection& connection)
 {
-    // The process may have been paused since the request was admitted.
-    if (core::clock::now() >= deadline_)
-        co_return fail(answer_reason::deadline_passed);
-    if (call_.cancelled())
-        co_return fail(answer_reason::connection_lost);
+    auto const& request = task_.caller.request;
     auto const head = request_head();
     std::array<asio::const_buffer, 2> const buffers{
-        asio::buffer(head), asio::buffer(call_.request.body())};
-    connection.stream().expires_at(deadline_);
+        asio::buffer(head), asio::buffer(request.body())};
+    connection.stream().expires_at(task_.until.at());
+    // The process may have been paused since the attempt began, so that the
+    // time is read directly before the first byte goes to the kernel.
+    sent_at_ = core::clock::now();
+    if (task_.ended.requested() ||
+        !task_.attempts.may_write(task_.number, sent_at_))
+        co_return fail(exchange_end::not_written);
     auto const [error, size] =
         co_await asio::async_write(connection.stream(), buffers, as_result);
-    // With one byte in the kernel the upstream may see all of a short request.
-    if (size != 0)
-        attempt_.sent = sent_state::written;
     if (error)
-        co_return fail(read_failure(error));
+        co_return fail(error);
     co_return true;
 }
 
@@ -130,15 +136,12 @@
 {
     parser.header_limit(answer_header_limit);
     parser.body_limit(state_.settings.upstreams.answer_limit_bytes);
-    if (call_.request.method() == http::verb::head)
+    if (task_.caller.request.method() == http::verb::head)
         parser.skip(true);
     auto const [error, size] = co_await http::async_read_header(
         connection.stream(), connection.buffer(), parser, as_result);
     if (error)
-        co_return fail(read_failure(error));
-    // Checked before the body is buffered: it may belong to another request.
-    if (parser.get()[request_id_header] != id_)
-        co_return fail(answer_reason::wrong_answer);
+        co_return fail(error);
     co_return co_await read_body(connection, parser);
 }
 
@@ -146,96 +149,92 @@
 upstream_exchange::read_body(upstream_connection& connection,
                              parser_type& parser)
 {
-    attempt_.memory = memory_account::reservation(state_.buffered_answers);
+    result_.memory = memory_account::reservation(state_.buffered_answers);
     auto const length = parser.content_length();
-    if (length && !parser.is_done() && !attempt_.memory.grow_to(*length))
-        co_return fail(answer_reason::buffers_full);
+    if (length && !parser.is_done() && !result_.memory.grow_to(*length))
+        co_return fail(exchange_end::answer_too_large);
     while (!parser.is_done())
     {
         auto const [error, size] = co_await http::async_read_some(
             connection.stream(), connection.buffer(), parser, as_result);
         if (error)
-            co_return fail(read_failure(error));
-        if (!attempt_.memory.grow_to(parser.get().body().capacity()))
-            co_return fail(answer_reason::buffers_full);
+            co_return fail(error);
+        if (!result_.memory.grow_to(parser.get().body().capacity()))
+            co_return fail(exchange_end::answer_too_large);
     }
     co_return true;
 }
 
 bool upstream_exchange::accept(parser_type& parser)
 {
-    if (core::clock::now() >= deadline_)
+    if (task_.until.passed(core::clock::now()))
     {
         state_.events.increment(entry_event::late_answer);
-        return fail(answer_reason::late_answer);
+        return fail(exchange_end::timeout);
     }
-    bool const without_body = call_.request.method() == http::verb::head;
     auto& answer = parser.get();
-    bool proven = parser.content_length().has_value() || parser.chunked() ||
-                  !parser.need_eof() || without_body;
-    auto const header = answer[digest_header];
-    if (auto const digest = sha256_of_header({header.data(), header.size()});
-        digest && !without_body)
+    // The last chunk ends a body as surely as a length. A body that ends with
+    // the connection is complete only if its digest says so.
+    bool const ended = parser.chunked() || has_digest(answer);
+    if (!parser.content_length() && ended)
     {
-        if (*digest != core::as_bytes(core::sha256(answer.body())))
-            return fail(answer_reason::wrong_answer);
-        proven = true;
+        answer.erase(http::field::transfer_encoding);
+        answer.set(http::field::content_length,
+                   std::to_string(answer.body().size()));
     }
-    // A body that ends with the connection is complete only by its digest.
-    if (!proven)
-        return fail(answer_reason::connection_lost);
-    auto const outcome = answer[outcome_header];
-    if (answer.result() == http::status::service_unavailable &&
-        outcome == "not-run")
-    {
-        attempt_.sent = sent_state::refused_by_upstream;
-        fail(answer_reason::refused_by_upstream);
-        return true;
-    }
-    attempt_.answer = parser.release();
+    auto const fields = header_views(answer);
+    auto const verdict = request::check_answer(
+        {task_.caller.request.method() == http::verb::head,
+         answer.result_int(),
+         fields,
+         answer.body()},
+        id_);
+    state_.verdicts.increment(verdict);
+    if (verdict == request::answer_verdict::refused)
+        result_.end = exchange_end::refused;
+    else if (verdict != request::answer_verdict::verified)
+        return fail(exchange_end::wrong_answer);
+    else
+        result_.end = exchange_end::answered;
+    result_.answer = parser.release();
     return true;
 }
 
-bool upstream_exchange::fail(answer_reason reason)
+bool upstream_exchange::fail(exchange_end end)
 {
-    attempt_.failure = reason;
-    attempt_.cancelled = call_.cancelled();
-    if (reason == answer_reason::wrong_answer)
-        state_.events.increment(entry_event::wrong_answer);
+    result_.end = task_.ended.requested() ? exchange_end::cancelled : end;
     return false;
 }
 
-answer_reason upstream_exchange::read_failure(error_code error) const
+bool upstream_exchange::fail(error_code error)
 {
     if (error == beast::error::timeout)
-        return answer_reason::attempt_timeout;
+        return fail(exchange_end::timeout);
     if (error == http::error::body_limit || error == http::error::header_limit)
-        return answer_reason::answer_too_large;
-    // Errors of the parser stand for text that is not an HTTP answer.
-    if (error.category() ==
-            make_error_code(http::error::end_of_stream).category() &&
-        error != http::error::end_of_stream &&
-        error != http::error::partial_message)
-        return answer_reason::wrong_answer;
-    return answer_reason::connection_lost;
+        return fail(exchange_end::answer_too_large);
+    return fail(is_parse_error(error) ? exchange_end::wrong_answer
+                                      : exchange_end::cut_short);
 }
 
 std::string upstream_exchange::request_head() const
 {
-    auto const remaining =
-        std::chrono::duration_cast<std::chrono::milliseconds>(
-            deadline_ - core::clock::now());
-    auto const& request = call_.request;
+    auto const& request = task_.caller.request;
     std::string head(request.method_string());
     head.append(" ").append(request.target()).append(" HTTP/1.1\r\n");
-    append_forwarded_headers(request, head);
-    append_header(request_id_header, id_, head);
-    append_header(organisation_header, organisation_.value(), head);
-    append_header(deadline_header,
-                  std::to_string(std::max<std::int64_t>(remaining.count(), 1)),
-                  head);
-    if (!request.body().empty() || request.method() == http::verb::post ||
-        request.method() == http::verb::put)
+    for (auto const& field :
+         admission::fields_for_upstream(task_.caller.facts().fields))
+        if (!request::same_name(field.name, "Content-Length"))
+            append_header(field.name, field.value, head);
+    append_header(names::request_id, id_.value(), head);
+    append_header(names::organisation, task_.organisation.value(), head);
+    auto const left = task_.until.left_ms(core::clock::now());
+    append_header(names::deadline_ms, std::to_string(left.count()), head);
+    // Methods that usually have a body state that there is none.
+    bool const states_length = !request.body().empty() ||
+                               request.method() == http::verb::post ||
+                               request.method() == http::verb::put ||
+                               request.method() == http::verb::patch;
+    if (states_length)
         append_header(
             "Content-Length", std::to_string(request.body().size()), head);
     head += "\r\n";
--- a/kumquatloom/entry/upstream_exchange.hpp
+++ b/kumquatloom/entry/upstream_exchange.hpp
@@ -3,33 +3,50 @@
 
 #include <kumquatloom/core/clock.hpp>
 #include <kumquatloom/core/ids.hpp>
-#include <kumquatloom/entry/attempt.hpp>
-#include <kumquatloom/entry/call.hpp>
+#include <kumquatloom/entry/cancellation.hpp>
+#include <kumquatloom/entry/exchange_result.hpp>
 #include <kumquatloom/entry/upstream_pool.hpp>
+#include <kumquatloom/request/attempt_state.hpp>
+#include <kumquatloom/request/deadline.hpp>
 
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include <cstddef>
 #include <string>
 
 namespace kumquatloom::entry
 {
 
+class call;
 struct instance_state;
 
 /// Sends one request to one upstream and reads the whole answer.
 class upstream_exchange
 {
 public:
-    /// An attempt of `owner` that ends at `deadline`. All references must
-    /// outlive the exchange.
-    upstream_exchange(instance_state& state,
-                      call& owner,
-                      core::organisation_name const& organisation,
-                      core::time_point deadline);
+    /// What an exchange needs; everything must outlive it.
+    struct task
+    {
+        /// The caller's request.
+        call const& caller;
+        /// For whom it is made.
+        core::organisation_name const& organisation;
+        /// All attempts of the request.
+        request::attempt_state& attempts;
+        /// Number of this attempt.
+        std::size_t number;
+        /// When the attempt ends.
+        request::deadline until;
+        /// Ends the attempt before.
+        cancellation& ended;
+    };
+
+    /// Does not start yet.
+    upstream_exchange(instance_state& state, task const& given);
 
     /// Takes a connection of the pool, writes, reads and verifies.
-    asio::awaitable<attempt> run(upstream_pool& pool);
+    asio::awaitable<exchange_result> run(upstream_pool& pool);
 
 private:
     using parser_type = http::response_parser<http::string_body>;
@@ -41,22 +58,20 @@
     asio::awaitable<bool> read_body(upstream_connection& connection,
                                     parser_type& parser);
     bool accept(parser_type& parser);
-    bool fail(answer_reason reason);
-    answer_reason read_failure(error_code error) const;
+    bool fail(exchange_end end);
+    bool fail(error_code error);
     std::string request_head() const;
 
     /// Settings and counters.
     instance_state& state_;
-    /// The caller's request.
-    call& call_;
-    /// For whom the request is made.
-    core::organisation_name const& organisation_;
-    /// When the attempt ends.
-    core::time_point const deadline_;
+    /// What to do.
+    task task_;
     /// Identifies this attempt; the upstream echoes it.
-    std::string const id_;
+    core::request_id const id_;
+    /// When the first byte was sent.
+    core::time_point sent_at_;
     /// What is known so far.
-    attempt attempt_;
+    exchange_result result_;
 };
 
 } // namespace kumquatloom::entry
--- a/kumquatloom/entry/upstream_pool.cpp
+++ b/kumquatloom/entry/upstream_pool.cpp
@@ -1,4 +1,4 @@
-#include <kumquatloom/entry/call.hpp>
+#include <kumquatloom/entry/cancellation.hpp>
 #include <kumquatloom/entry/instance_state.hpp>
 #include <kumquatloom/entry/upstream_pool.hpp>
 
@@ -39,23 +39,23 @@
 {
 }
 
-asio::awaitable<core::result<upstream_pool::lease, answer_reason>>
-upstream_pool::acquire(call& call, core::time_point deadline)
+asio::awaitable<core::result<upstream_pool::lease, exchange_end>>
+upstream_pool::acquire(cancellation& ended, core::time_point deadline)
 {
     auto connection = take_idle();
     if (!connection)
     {
         bool const granted =
-            co_await wait_for_place(call, deadline, connection);
+            co_await wait_for_place(ended, deadline, connection);
         if (!granted)
-            co_return answer_reason::connections_busy;
+            co_return core::failure(exchange_end::no_connection);
     }
     if (connection && connection->quiet())
     {
         state_.events.increment(entry_event::upstream_reused);
         co_return lease(this, std::move(connection));
     }
-    co_return co_await connect(call, deadline);
+    co_return co_await connect(ended, deadline);
 }
 
 std::unique_ptr<upstream_connection> upstream_pool::take_idle()
@@ -74,7 +74,7 @@
 }
 
 asio::awaitable<bool>
-upstream_pool::wait_for_place(call& call,
+upstream_pool::wait_for_place(cancellation& ended,
                               core::time_point deadline,
                               std::unique_ptr<upstream_connection>& connection)
 {
@@ -89,16 +89,16 @@
     interruption on_cancel(
         [&self]
         {
-            self.timer.cancel();
+            self.timer.expires_at(core::time_point::min());
         });
-    call.wait_for(on_cancel);
+    ended.wait_for(on_cancel);
     co_await self.timer.async_wait(as_result);
     connection = std::move(self.connection);
     co_return self.granted;
 }
 
-asio::awaitable<core::result<upstream_pool::lease, answer_reason>>
-upstream_pool::connect(call& call, core::time_point deadline)
+asio::awaitable<core::result<upstream_pool::lease, exchange_end>>
+upstream_pool::connect(cancellation& ended, core::time_point deadline)
 {
     lease result(this, std::make_unique<upstream_connection>(context_));
     interruption on_cancel(
@@ -106,13 +106,13 @@
         {
             result.connection().close();
         });
-    call.wait_for(on_cancel);
+    ended.wait_for(on_cancel);
     auto const limit =
         core::clock::now() + state_.settings.upstreams.connect_timeout;
     auto const error =
         co_await result.connection().connect(peer_, std::min(limit, deadline));
     if (error)
-        co_return answer_reason::connect_failed;
+        co_return core::failure(exchange_end::connect_failure);
     state_.events.increment(entry_event::upstream_connected);
     co_return result;
 }
--- a/kumquatloom/entry/upstream_pool.hpp
+++ b/kumquatloom/entry/upstream_pool.hpp
@@ -3,7 +3,7 @@
 
 #include <kumquatloom/core/clock.hpp>
 #include <kumquatloom/core/result.hpp>
-#include <kumquatloom/entry/answer_reason.hpp>
+#include <kumquatloom/entry/exchange_result.hpp>
 #include <kumquatloom/entry/http_types.hpp>
 #include <kumquatloom/entry/upstream_connection.hpp>
 
@@ -21,7 +21,7 @@
 {
 
 struct instance_state;
-class call;
+class cancellation;
 
 /// The connections of one worker to one upstream, bounded in number.
 class upstream_pool
@@ -63,9 +63,9 @@
                   std::size_t limit);
 
     /// A quiet pooled connection or a new one; waits for one while all are in
-    /// use, until the deadline or the end of the call.
-    asio::awaitable<core::result<lease, answer_reason>>
-    acquire(call& call, core::time_point deadline);
+    /// use, until the deadline or the end of the attempt.
+    asio::awaitable<core::result<lease, exchange_end>>
+    acquire(cancellation& ended, core::time_point deadline);
 
     /// Closes idle connections that were not used since the given time, or
     /// that the upstream closed.
@@ -118,11 +118,11 @@
 
     std::unique_ptr<upstream_connection> take_idle();
     asio::awaitable<bool>
-    wait_for_place(call& call,
+    wait_for_place(cancellation& ended,
                    core::time_point deadline,
                    std::unique_ptr<upstream_connection>& connection);
-    asio::awaitable<core::result<lease, answer_reason>>
-    connect(call& call, core::time_point deadline);
+    asio::awaitable<core::result<lease, exchange_end>>
+    connect(cancellation& ended, core::time_point deadline);
     void give_back(std::unique_ptr<upstream_connection> connection);
     void release_place();
     void hand_over(std::unique_ptr<upstream_connection> connection);
--- a/unit_tests/entry/at_most_once_test.cpp
+++ b/unit_tests/entry/at_most_once_test.cpp
@@ -212,7 +212,7 @@
     entry_fixture::wait_until(
         [&]
         {
-            return fixture.metric("kumquatloom_events_total{event=\"caller_"
+            return fixture.metric("kumquatloom_events_total{event=\"caller-"
                                   "disconnected\"}") == 1;
         });
     CHECK(upstream.executions() == 1);
--- a/unit_tests/entry/caller_limits_test.cpp
+++ b/unit_tests/entry/caller_limits_test.cpp
@@ -28,12 +28,13 @@
     SECTION("a request without a credential is refused")
     {
         fixture.start();
-        auto const answer = fixture.ask("GET /item HTTP/1.1\r\n\r\n");
+        auto const answer =
+            fixture.ask("GET /item HTTP/1.1\r\nHost: test\r\n\r\n");
         REQUIRE(answer);
         CHECK(answer->result_int() == 401);
         CHECK((*answer)["Kumquatloom-Outcome"] == "not-run");
         CHECK(answer->body() ==
-              "{\"outcome\":\"not-run\",\"reason\":\"unauthenticated\"}\n");
+              "{\"outcome\":\"not-run\",\"reason\":\"no-credential\"}\n");
     }
 
     SECTION("no header claims an organisation")
@@ -111,8 +112,8 @@
             caller.send("POST /buy HTTP/1.1\r\nContent-Length: 10\r\n\r\nhalf");
         }
         CHECK(caller.ended());
-        CHECK(fixture.metric("kumquatloom_refusals_total{reason="
-                             "\"request_timeout\"}") == 1);
+        CHECK(fixture.metric("kumquatloom_events_total{event="
+                             "\"caller-too-slow\"}") == 1);
         CHECK(upstream.executions() == 0);
     }
 
@@ -139,11 +140,12 @@
     {
         fixture.start();
         raw_caller caller(fixture.instance().callers_port());
-        caller.send("HEAD /item HTTP/1.1\r\nConnection: close\r\n\r\n");
+        caller.send("HEAD /item HTTP/1.1\r\nHost: test\r\n"
+                    "Connection: close\r\n\r\n");
         auto const answer = caller.receive(true);
         REQUIRE(answer);
         CHECK(answer->result_int() == 401);
-        CHECK((*answer)["Content-Length"] == "49");
+        CHECK((*answer)["Content-Length"] == "47");
         CHECK(caller.ended());
     }
 }
--- a/unit_tests/entry/entry_fixture.cpp
+++ b/unit_tests/entry/entry_fixture.cpp
@@ -1,4 +1,5 @@
 #include <kumquatloom/core/digest.hpp>
+#include <kumquatloom/core/logging.hpp>
 #include <kumquatloom/document/parse_document.hpp>
 
 #include <boost/asio/ip/tcp.hpp>
@@ -53,6 +54,7 @@
 entry_fixture::entry_fixture()
     : list_(context_, {"127.0.0.1", 0}, 0ms)
 {
+    core::configure_logging("error");
     settings.instance = {core::instance_id("entry-1"),
                          core::failure_domain("domain"),
                          core::region("region")};
--- a/unit_tests/entry/whole_answers_test.cpp
+++ b/unit_tests/entry/whole_answers_test.cpp
@@ -69,7 +69,7 @@
             post);
         CHECK(answer.result_int() == 502);
         CHECK(outcome_of(answer) == "unknown");
-        CHECK(reason_of(answer) == "connection_lost");
+        CHECK(reason_of(answer) == "upstream-failure");
     }
 
     SECTION("a foreign request id becomes an unknown outcome")
@@ -81,7 +81,7 @@
             },
             post);
         CHECK(outcome_of(answer) == "unknown");
-        CHECK(reason_of(answer) == "wrong_answer");
+        CHECK(reason_of(answer) == "wrong-answer");
     }
 
     SECTION("a body that differs from its digest becomes an unknown outcome")
@@ -94,7 +94,7 @@
             },
             post);
         CHECK(outcome_of(answer) == "unknown");
-        CHECK(reason_of(answer) == "wrong_answer");
+        CHECK(reason_of(answer) == "wrong-answer");
     }
 
     SECTION("a body that only the end of the connection ends is not trusted")
@@ -152,7 +152,7 @@
             },
             post);
         CHECK(outcome_of(answer) == "unknown");
-        CHECK(reason_of(answer) == "wrong_answer");
+        CHECK(reason_of(answer) == "wrong-answer");
     }
 }
 
@@ -176,7 +176,7 @@
     }
     CHECK(upstream.connections() == 3);
     CHECK(fixture.metric(
-              "kumquatloom_events_total{event=\"upstream_leftover\"}") == 3);
+              "kumquatloom_events_total{event=\"upstream-leftover\"}") == 3);
 }
 
 // Guards against an answer that comes after its deadline and is delivered to
@@ -229,11 +229,11 @@
 
     auto const oversize = fixture.ask(request_text("GET", "/2001"));
     REQUIRE(oversize);
-    CHECK(reason_of(*oversize) == "answer_too_large");
+    CHECK(reason_of(*oversize) == "answer-too-large");
 
     auto const too_many = fixture.ask(request_text("GET", "/1600"));
     REQUIRE(too_many);
-    CHECK(reason_of(*too_many) == "buffers_full");
+    CHECK(reason_of(*too_many) == "answer-too-large");
 
     entry_fixture::wait_until(
         [&]
