--- /dev/null
+++ b/unit_tests/fault_matrix/names.cpp
@@ -0,0 +1,44 @@
+#include <array>
+#include <unit_tests/fault_matrix/fault.hpp>
+#include <unit_tests/fault_matrix/step.hpp>
+
+namespace kumquatloom::fault_matrix
+{
+
+std::string_view to_string(step which)
+{
+    static constexpr std::array<std::string_view,
+                                static_cast<std::size_t>(step::count)>
+        names = {"entry_choice", "admission", "pick",      "connect", "write",
+                 "wait",         "read_head", "read_body", "deliver", "resend",
+                 "read_base",    "append",    "reply",     "reduce",  "spread",
+                 "snapshot",     "eject",     "readmit",   "join",    "leave",
+                 "replace"};
+    return names[static_cast<std::size_t>(which)];
+}
+
+std::string_view to_string(fault which)
+{
+    static constexpr std::array<std::string_view,
+                                static_cast<std::size_t>(fault::count)>
+        names = {"loss_towards",
+                 "loss_back",
+                 "delay",
+                 "reset",
+                 "partial_data",
+                 "foreign_answer",
+                 "late_answer",
+                 "reordered_answer",
+                 "crash",
+                 "pause",
+                 "log_down",
+                 "log_slow",
+                 "reply_lost",
+                 "list_stale",
+                 "flapping",
+                 "drain",
+                 "cold_start"};
+    return names[static_cast<std::size_t>(which)];
+}
+
+} // namespace kumquatloom::fault_matrix
