Test the ends of loans and competing responses

Trials with single changes to the code showed that no test noticed a loan that earned after its end, a grant of an earlier request and an old response that displaced a newer one. Each now has a test, which fails with that change.

--- a/unit_tests/limits/rate_share_test.cpp
+++ b/unit_tests/limits/rate_share_test.cpp
@@ -102,6 +102,51 @@
         }
     }
 
+    SECTION("a loan earns until its end only, even without a refresh")
+    {
+        auto const grant = giver.share.answer(*request, asked);
+        REQUIRE(grant);
+        REQUIRE(taker.share.accept(*grant, asked));
+        take_all(taker.share, asked);
+        int taken = 0;
+        for (auto now = asked; now <= asked + 20s; now += 100ms)
+            taken += take_all(taker.share, now);
+        // 20 s of the base share and 10 s of the loan.
+        auto const expected =
+            (base * 20 + grant->granted * 10) / micro_rate_of_one;
+        CHECK(taken <= expected + 1);
+        CHECK(taken >= expected - 1);
+    }
+
+    SECTION("a time that is read twice earns once")
+    {
+        take_all(taker.share, asked);
+        for (int i = 0; i < 100; ++i)
+        {
+            taker.share.refresh(asked + 500ms);
+            taker.share.refresh(asked);
+        }
+        CHECK(take_all(taker.share, asked + 500ms) <= 5);
+    }
+
+    SECTION("a grant for another request or process is not used")
+    {
+        auto const grant = giver.share.answer(*request, asked);
+        REQUIRE(grant);
+        for (int i = 0; i < 100; ++i)
+            taker.share.try_take(asked + 1s);
+        auto const second = taker.share.ask(asked + 1s);
+        REQUIRE(second);
+        REQUIRE(second->wanted > grant->granted);
+        CHECK_FALSE(taker.share.accept(*grant, asked + 1s));
+
+        process restarted("b", 2, asked, asked);
+        for (int i = 0; i < 100; ++i)
+            restarted.share.try_take(asked);
+        REQUIRE(restarted.share.ask(asked + 200ms)->number == grant->number);
+        CHECK_FALSE(restarted.share.accept(*grant, asked + 200ms));
+    }
+
     SECTION("a late grant is not used")
     {
         auto const grant = giver.share.answer(*request, asked + 1s);
--- a/unit_tests/request/ticket_test.cpp
+++ b/unit_tests/request/ticket_test.cpp
@@ -239,6 +239,21 @@
     }
 }
 
+// Guards against a slow old request that takes the place of a newer response.
+TEST_CASE("two responses compete for one place", "[request]")
+{
+    response_store store({8, 4096, 1024});
+    for (std::uint64_t const sequence : {9, 1})
+    {
+        boost::intrusive_ptr<kept_response> kept(new kept_response);
+        kept->sequence = sequence;
+        CHECK(store.store(kept) == (sequence == 9));
+    }
+    CHECK(store.find(9, 0, {}));
+    CHECK_FALSE(store.find(1, 0, {}));
+    CHECK(store.bytes() == store.find(9, 0, {})->bytes());
+}
+
 // Guards against a kept response that is freed while it is read, mixed up with
 // another, or beyond the bound on memory.
 TEST_CASE("threads store and find responses", "[request]")
