--- /dev/null
+++ b/kumquatloom/document/log_follower.cpp
@@ -0,0 +1,193 @@
+#include <kumquatloom/document/log_follower.hpp>
+#include <kumquatloom/document/log_record.hpp>
+
+#include <algorithm>
+#include <variant>
+
+namespace kumquatloom::document
+{
+
+namespace
+{
+
+bool is_consecutive(std::vector<log_entry> const& entries)
+{
+    for (std::size_t i = 1; i < entries.size(); ++i)
+        if (entries[i].offset != entries[i - 1].offset + 1)
+            return false;
+    return true;
+}
+
+} // namespace
+
+log_follower::log_follower(document_reducer& reducer,
+                           log_follower_settings settings)
+    : reducer_(reducer)
+    , settings_(settings)
+    // A state that came from elsewhere is compared with the log first.
+    , mode_(reducer.state().next == 0 ? mode::following : mode::verifying)
+{
+}
+
+log_request log_follower::next_request() const
+{
+    auto const next = reducer_.state().next;
+    switch (mode_)
+    {
+    case mode::scanning:
+        return {scan_from_, settings_.page_size, false};
+    case mode::verifying:
+        if (next > 0)
+            return {next - 1, settings_.page_size, false};
+        break;
+    case mode::following:
+        break;
+    }
+    return {next, settings_.page_size, true};
+}
+
+follow_result log_follower::received(log_request const& request,
+                                     log_page const& page)
+{
+    if (mode_ == mode::scanning)
+        return scan(request, page);
+    auto const next = reducer_.state().next;
+    if (page.next < next)
+        return disagree(follow_event::cut_back);
+    bool const has_gap =
+        !is_consecutive(page.records) ||
+        (!page.records.empty() && page.records.front().offset > next);
+    if (page.first > next)
+        return cut_by_retention(page.first);
+    if (has_gap)
+        return {follow_event::gap, {}, {}};
+    // A read that starts at a known record must return that record.
+    bool const verifies = request.from < next;
+    bool const lacks_known_record =
+        verifies && request.from >= page.first &&
+        (page.records.empty() || page.records.front().offset > request.from);
+    if (lacks_known_record)
+        return {follow_event::gap, {}, {}};
+    if (!agrees(page.records))
+        return disagree(follow_event::diverged);
+    disagrees_ = false;
+    mode_ = mode::following;
+    auto result = reduce(page.records);
+    result.head = page.next;
+    return result;
+}
+
+follow_result log_follower::cut_by_retention(core::log_offset first)
+{
+    // The record before the next one is needed only for the comparison.
+    if (mode_ != mode::scanning && first <= reducer_.state().next)
+    {
+        mode_ = mode::following;
+        return {follow_event::idle, {}, {}};
+    }
+    mode_ = mode::scanning;
+    scan_first_ = first;
+    scan_from_ = first;
+    assembler_.clear();
+    return {follow_event::retention_cut, {}, {}};
+}
+
+void log_follower::failed()
+{
+    if (mode_ == mode::following)
+        mode_ = mode::verifying;
+}
+
+follow_result log_follower::pushed(std::vector<log_entry> const& entries,
+                                   core::sha256_digest const& chain_after)
+{
+    auto const& state = reducer_.state();
+    if (!is_consecutive(entries) ||
+        (!entries.empty() && entries.front().offset > state.next))
+        return {follow_event::gap, {}, {}};
+    if (!agrees(entries))
+        return {follow_event::diverged, {}, {}};
+    if (entries.empty() || entries.back().offset < state.next)
+        return {follow_event::idle, {}, {}};
+    // The digest is computed before anything is reduced.
+    auto chain = state.chain;
+    for (auto const& entry : entries)
+        if (entry.offset >= state.next)
+            chain = extend_chain(chain, entry.offset, entry.data);
+    if (chain != chain_after)
+        return {follow_event::diverged, {}, {}};
+    return reduce(entries);
+}
+
+follow_result log_follower::disagree(follow_event event)
+{
+    disagrees_ = true;
+    mode_ = mode::verifying;
+    return {event, {}, {}};
+}
+
+follow_result log_follower::reduce(std::vector<log_entry> const& entries)
+{
+    follow_result result;
+    for (auto const& entry : entries)
+        if (entry.offset == reducer_.state().next)
+            result.effects.push_back(reducer_.reduce(entry));
+    result.event =
+        result.effects.empty() ? follow_event::idle : follow_event::advanced;
+    return result;
+}
+
+follow_result log_follower::scan(log_request const& request,
+                                 log_page const& page)
+{
+    if (page.first > request.from)
+        return cut_by_retention(page.first);
+    for (auto const& entry : page.records)
+    {
+        if (entry.offset != scan_from_)
+            continue;
+        ++scan_from_;
+        core::fault_list faults;
+        auto record = parse_record(entry.data, faults);
+        if (record && std::holds_alternative<snapshot_record>(*record))
+            assembler_.add(std::get<snapshot_record>(std::move(*record)));
+    }
+    if (scan_from_ < page.next)
+        return {page.records.empty() ? follow_event::gap : follow_event::idle,
+                {},
+                {}};
+    return finish_scan();
+}
+
+follow_result log_follower::finish_scan()
+{
+    auto const& newest = assembler_.newest();
+    // Records between the snapshot and the first retained one would be lost.
+    bool const is_usable = newest && newest->header.offset + 1 >= scan_first_;
+    bool const done =
+        is_usable && reducer_.restore(newest->header, newest->text);
+    // Without one, the log is read on until somebody writes a snapshot.
+    if (!done)
+        return {follow_event::no_snapshot, {}, {}};
+    assembler_.clear();
+    disagrees_ = false;
+    mode_ = mode::following;
+    return {follow_event::restored, {}, {}};
+}
+
+bool log_follower::agrees(std::vector<log_entry> const& entries) const
+{
+    for (auto const& entry : entries)
+    {
+        auto const after = reducer_.chain_at(entry.offset);
+        auto const before = entry.offset == 0
+                                ? std::optional(core::sha256_digest{})
+                                : reducer_.chain_at(entry.offset - 1);
+        if (after && before &&
+            extend_chain(*before, entry.offset, entry.data) != *after)
+            return false;
+    }
+    return true;
+}
+
+} // namespace kumquatloom::document
--- /dev/null
+++ b/kumquatloom/platform/http_client.cpp
@@ -0,0 +1,123 @@
+#include <kumquatloom/platform/http_client.hpp>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/ip/address.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/error.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <utility>
+
+namespace kumquatloom::platform
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+
+constexpr auto use_tuple = asio::as_tuple(asio::use_awaitable);
+constexpr std::uint32_t max_header_bytes = 16 * 1024;
+
+http_error translate(boost::system::error_code const& error)
+{
+    if (error == beast::error::timeout)
+        return http_error::timed_out;
+    if (error == http::error::body_limit || error == http::error::header_limit)
+        return http_error::too_large;
+    if (error == http::error::partial_message ||
+        error == http::error::end_of_stream ||
+        error.category() != http::make_error_code(http::error{}).category())
+        return http_error::cut_short;
+    return http_error::malformed;
+}
+
+} // namespace
+
+http_client::http_client(settings::endpoint server,
+                         http_client_settings settings)
+    : server_(std::move(server))
+    , settings_(settings)
+{
+}
+
+asio::awaitable<http_client::exchange>
+http_client::fetch(std::string target, std::chrono::milliseconds extra) const
+{
+    return run(request_method::fetch,
+               std::move(target),
+               std::string(),
+               settings_.timeout + extra);
+}
+
+asio::awaitable<http_client::exchange> http_client::post(std::string target,
+                                                         std::string body) const
+{
+    return run(request_method::post,
+               std::move(target),
+               std::move(body),
+               settings_.timeout);
+}
+
+asio::awaitable<http_client::exchange>
+http_client::run(request_method method,
+                 std::string target,
+                 std::string body,
+                 std::chrono::milliseconds timeout) const
+{
+    // The coroutine keeps its own copy of what it needs after a suspension.
+    auto const server = server_;
+    auto const max_body_bytes = settings_.max_body_bytes;
+    beast::tcp_stream stream(co_await asio::this_coro::executor);
+    // One deadline holds for the whole exchange.
+    stream.expires_after(timeout);
+    boost::system::error_code address_error;
+    asio::ip::tcp::endpoint const endpoint(
+        asio::ip::make_address(server.host, address_error), server.port);
+    if (address_error)
+        co_return http_error::not_connected;
+    auto [connect_error] = co_await stream.async_connect(endpoint, use_tuple);
+    if (connect_error)
+        co_return http_error::not_connected;
+
+    http::request<http::string_body> request(
+        method == request_method::post ? http::verb::post : http::verb::get,
+        target,
+        11);
+    request.set(http::field::host, settings::to_string(server));
+    request.keep_alive(false);
+    if (method == request_method::post)
+    {
+        request.set(http::field::content_type, "application/json");
+        request.body() = std::move(body);
+    }
+    request.prepare_payload();
+    auto [write_error, written] =
+        co_await http::async_write(stream, request, use_tuple);
+    if (write_error)
+        co_return translate(write_error);
+
+    beast::flat_buffer buffer;
+    http::response_parser<http::string_body> parser;
+    parser.header_limit(max_header_bytes);
+    parser.body_limit(max_body_bytes);
+    auto [read_failure, received] =
+        co_await http::async_read(stream, buffer, parser, use_tuple);
+    if (read_failure)
+        co_return translate(read_failure);
+    http_response response;
+    response.status = parser.get().result_int();
+    response.body = std::move(parser.get().body());
+    co_return response;
+}
+
+} // namespace kumquatloom::platform
--- /dev/null
+++ b/kumquatloom/platform/instance_list_client.cpp
@@ -0,0 +1,58 @@
+#include <kumquatloom/platform/instance_list_client.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace kumquatloom::platform
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+
+/// An instance takes about 250 bytes, and the list has at most 140,000.
+constexpr std::size_t max_list_bytes = 64 * 1024 * 1024;
+
+http_client_settings with_list_bound(http_client_settings settings)
+{
+    settings.max_body_bytes = std::max(settings.max_body_bytes, max_list_bytes);
+    return settings;
+}
+
+constexpr unsigned status_ok = 200;
+constexpr unsigned status_too_many = 429;
+constexpr unsigned status_unavailable = 503;
+
+} // namespace
+
+instance_list_client::instance_list_client(settings::endpoint server,
+                                           http_client_settings settings)
+    : client_(std::move(server), with_list_bound(settings))
+{
+}
+
+asio::awaitable<instance_list_client::read_result>
+instance_list_client::read() const
+{
+    auto const response = co_await client_.fetch("/instances");
+    if (!response)
+        co_return to_read_error(response.error());
+    switch (response.value().status)
+    {
+    case status_ok:
+        break;
+    case status_too_many:
+        co_return read_error::rate_limited;
+    case status_unavailable:
+        co_return read_error::outage;
+    default:
+        co_return read_error::malformed;
+    }
+    auto list = parse_instance_list(response.value().body);
+    if (!list)
+        co_return read_error::malformed;
+    co_return std::move(*list);
+}
+
+} // namespace kumquatloom::platform
