--- a/kumquatloom/document/document_reducer.cpp
+++ b/kumquatloom/document/document_reducer.cpp
@@ -392,18 +392,11 @@
 bool document_reducer::restore(snapshot_record const& header,
                                std::string_view text)
 {
-    core::fault_list faults;
-    auto snapshot = parse_snapshot(text, faults);
-    if (!snapshot)
-        return false;
-    auto& state = snapshot->state;
-    bool const fits = state.next == header.offset + 1 &&
-                      state.chain == header.chain &&
-                      digest_of(state, snapshot->ejections) == header.digest;
-    if (!fits || state.next <= state_.next ||
+    auto snapshot = parse_snapshot(header, text);
+    if (!snapshot || snapshot->state.next <= state_.next ||
         !ejections_.restore(snapshot->ejections))
         return false;
-    state_ = std::move(state);
+    state_ = std::move(snapshot->state);
     index_ = document_index(state_.document);
     chains_.assign(1, state_.chain);
     checkpoints_.assign(1, {header.offset, header.digest});
--- a/kumquatloom/document/log_follower.cpp
+++ b/kumquatloom/document/log_follower.cpp
@@ -35,7 +35,7 @@
     switch (mode_)
     {
     case mode::scanning:
-        return {scan_from_, settings_.page_size, false};
+        return {scan_from_, settings_.page_size, scan_at_end_};
     case mode::verifying:
         if (next > 0)
             return {next - 1, settings_.page_size, false};
@@ -88,6 +88,7 @@
     mode_ = mode::scanning;
     scan_first_ = first;
     scan_from_ = first;
+    scan_at_end_ = false;
     assembler_.clear();
     return {follow_event::retention_cut, {}, {}};
 }
@@ -116,7 +117,11 @@
             chain = extend_chain(chain, entry.offset, entry.data);
     if (chain != chain_after)
         return {follow_event::diverged, {}, {}};
-    return reduce(entries);
+    auto result = reduce(entries);
+    // The peer closed the gap that retention had left.
+    if (mode_ == mode::scanning && reducer_.state().next >= scan_first_)
+        mode_ = mode::verifying;
+    return result;
 }
 
 follow_result log_follower::disagree(follow_event event)
@@ -152,7 +157,8 @@
         if (record && std::holds_alternative<snapshot_record>(*record))
             assembler_.add(std::get<snapshot_record>(std::move(*record)));
     }
-    if (scan_from_ < page.next)
+    scan_at_end_ = scan_from_ >= page.next;
+    if (!scan_at_end_)
         return {page.records.empty() ? follow_event::gap : follow_event::idle,
                 {},
                 {}};
--- a/kumquatloom/document/log_follower.hpp
+++ b/kumquatloom/document/log_follower.hpp
@@ -80,7 +80,8 @@
     explicit log_follower(document_reducer& reducer,
                           log_follower_settings settings = {});
 
-    /// The next read.
+    /// The next read. After an event other than `advanced`, a read that does
+    /// not wait is paced by the caller.
     log_request next_request() const;
 
     /// The log answered the request.
@@ -134,6 +135,8 @@
     core::log_offset scan_from_ = 0;
     /// The first retained record at the start of the scan.
     core::log_offset scan_first_ = 0;
+    /// Whether the scan has reached the end of the log.
+    bool scan_at_end_ = false;
     /// Snapshots of the scan.
     snapshot_assembler assembler_;
 };
--- a/kumquatloom/document/snapshot_assembler.cpp
+++ b/kumquatloom/document/snapshot_assembler.cpp
@@ -84,7 +84,10 @@
 
 void snapshot_assembler::complete(assembled_snapshot snapshot)
 {
-    if (!newest_ || newest_->header.offset <= snapshot.header.offset)
+    bool const is_newer =
+        !newest_ || newest_->header.offset < snapshot.header.offset;
+    // A damaged snapshot must not hide an older one that can be used.
+    if (is_newer && parse_snapshot(snapshot.header, snapshot.text))
         newest_ = std::move(snapshot);
 }
 
--- a/kumquatloom/document/state_snapshot.cpp
+++ b/kumquatloom/document/state_snapshot.cpp
@@ -292,6 +292,18 @@
     return result;
 }
 
+std::optional<state_snapshot> parse_snapshot(snapshot_record const& header,
+                                             std::string_view text)
+{
+    core::fault_list faults;
+    auto result = parse_snapshot(text, faults);
+    if (!result || result->state.next != header.offset + 1 ||
+        result->state.chain != header.chain ||
+        digest_of(result->state, result->ejections) != header.digest)
+        return std::nullopt;
+    return result;
+}
+
 std::vector<snapshot_record> split_snapshot(state_snapshot const& snapshot,
                                             std::string const& id,
                                             std::size_t part_bytes)
--- a/kumquatloom/document/state_snapshot.hpp
+++ b/kumquatloom/document/state_snapshot.hpp
@@ -42,6 +42,11 @@
 std::optional<state_snapshot> parse_snapshot(std::string_view text,
                                              core::fault_list& faults);
 
+/// Parses a snapshot whose records carry this offset, chain and digest;
+/// nothing if it has faults or does not fit them.
+std::optional<state_snapshot> parse_snapshot(snapshot_record const& header,
+                                             std::string_view text);
+
 /// The records that carry a snapshot, which needs at least one record before
 /// it in the log.
 std::vector<snapshot_record>
