--- a/kumquatloom/cli/log_session.cpp
+++ b/kumquatloom/cli/log_session.cpp
@@ -15,8 +15,7 @@
 
 /// Time between two reads while an outcome is awaited.
 constexpr auto poll_interval = 100ms;
-/// A record is found again within this time after a lost reply, or reported
-/// as unknown.
+/// Reads without progress after which reading the log is given up.
 constexpr std::size_t max_stalled_reads = 3;
 
 std::string describe(platform::append_error error)
@@ -58,7 +57,7 @@
         if (result.event == document::follow_event::cut_back ||
             result.event == document::follow_event::diverged)
             return "the log lost or replaced records while it was read";
-        // Two equal heads end the read, since records may arrive meanwhile.
+        // The state contains all that the log held when it was read.
         if (result.head && *result.head == reducer_.state().next)
             return std::nullopt;
         bool const moved = result.event == document::follow_event::advanced ||
