Add membership, the entry directory and the entries command

Instances must learn who lives, who reads the log and whom callers should use (sections 5.1, 5.7 and 5.8). membership/cell_protocol.hpp is the facade: it takes frames and the time, and returns an outbox of datagrams, sync requests and pushes. member_table, probe_scheduler, reader_election, relay_election, cell_map, spread_plan, region_digest_table and freshness_tracker are its parts. directory holds the choice of entries, the drain timer and the JSON answer.

--- a/kumquatloom/cli/command.cpp
+++ b/kumquatloom/cli/command.cpp
@@ -8,6 +8,7 @@
 {
     static std::vector<command> const commands = {
         {"check", "check a settings file or a document", run_check},
+        {"entries", "ask which entry instances to use", run_entries},
         {"settings", "print the default settings", run_settings},
     };
     return commands;
--- a/kumquatloom/cli/commands.hpp
+++ b/kumquatloom/cli/commands.hpp
@@ -9,6 +9,8 @@
 
 /// Checks a settings file or a document and prints every fault.
 int run_check(std::vector<std::string> const& arguments);
+/// Asks an instance which entry instances callers should use.
+int run_entries(std::vector<std::string> const& arguments);
 /// Prints the default settings.
 int run_settings(std::vector<std::string> const& arguments);
 
--- /dev/null
+++ b/kumquatloom/directory/entry_directory.cpp
@@ -0,0 +1,119 @@
+#include <kumquatloom/core/hashing.hpp>
+#include <kumquatloom/directory/entry_directory.hpp>
+
+#include <algorithm>
+#include <cstdint>
+#include <utility>
+
+namespace kumquatloom::directory
+{
+
+namespace
+{
+
+/// An instance with its score for the organisation.
+struct candidate
+{
+    membership::known_instance const* instance = nullptr;
+    std::uint64_t score = 0;
+};
+
+/// Fresh instances come first, then the highest score.
+bool before(candidate const& left, candidate const& right)
+{
+    if (left.instance->fresh != right.instance->fresh)
+        return left.instance->fresh;
+    if (left.score != right.score)
+        return left.score > right.score;
+    return left.instance->id < right.instance->id;
+}
+
+/// Moves the best candidates of a group to the chosen ones. Returns how many
+/// places remain.
+std::size_t choose(std::vector<candidate>& group,
+                   std::size_t places,
+                   std::vector<candidate>& chosen)
+{
+    std::size_t const count = std::min(places, group.size());
+    std::sort(group.begin(), group.end(), before);
+    chosen.insert(chosen.end(),
+                  group.begin(),
+                  group.begin() + static_cast<std::ptrdiff_t>(count));
+    return places - count;
+}
+
+} // namespace
+
+entry_directory::entry_directory(entry_directory_settings settings,
+                                 core::failure_domain own_domain,
+                                 core::region own_region)
+    : settings_(settings)
+    , own_domain_(std::move(own_domain))
+    , own_region_(std::move(own_region))
+{
+}
+
+entry_answer entry_directory::answer(
+    core::organisation_name const& organisation,
+    core::failure_domain const& asked_domain,
+    std::vector<membership::known_instance> const& instances,
+    core::time_point now) const
+{
+    // The instances know the region of a failure domain better than a caller.
+    core::failure_domain domain = own_domain_;
+    core::region region = own_region_;
+    for (auto const& instance : instances)
+        if (instance.failure_domain == asked_domain && !asked_domain.empty())
+        {
+            domain = instance.failure_domain;
+            region = instance.region;
+            break;
+        }
+
+    std::vector<candidate> in_domain;
+    std::vector<candidate> in_region;
+    std::vector<candidate> elsewhere;
+    for (auto const& instance : instances)
+    {
+        if (!may_hand_out(instance, now))
+            continue;
+        auto const score =
+            core::rendezvous_score(organisation.value(), instance.id.value());
+        auto& group = instance.failure_domain == domain ? in_domain
+                      : instance.region == region       ? in_region
+                                                        : elsewhere;
+        group.push_back({&instance, score});
+    }
+
+    std::vector<candidate> chosen;
+    auto left = choose(in_domain, settings_.domain_entries, chosen);
+    left = choose(in_region, settings_.region_entries + left, chosen);
+    choose(elsewhere, settings_.other_entries + left, chosen);
+    std::stable_partition(chosen.begin(),
+                          chosen.end(),
+                          [](candidate const& item)
+                          {
+                              return item.instance->fresh;
+                          });
+
+    entry_answer result;
+    result.time_to_live = settings_.time_to_live;
+    for (auto const& item : chosen)
+        result.entries.push_back({item.instance->id,
+                                  item.instance->callers_address,
+                                  item.instance->failure_domain,
+                                  item.instance->region});
+    return result;
+}
+
+bool entry_directory::may_hand_out(membership::known_instance const& instance,
+                                   core::time_point now) const
+{
+    auto const limit = instance.region == own_region_ ? settings_.region_age
+                                                      : settings_.other_age;
+    return instance.ready && !instance.leaving &&
+           !instance.callers_address.empty() &&
+           now - instance.last_heard <= limit;
+}
+
+} // namespace kumquatloom::directory
--- /dev/null
+++ b/kumquatloom/membership/local_state.hpp
@@ -0,0 +1,26 @@
+#ifndef KUMQUATLOOM_MEMBERSHIP_LOCAL_STATE_HPP
+#define KUMQUATLOOM_MEMBERSHIP_LOCAL_STATE_HPP
+
+#include <kumquatloom/core/ids.hpp>
+
+#include <cstdint>
+
+namespace kumquatloom::membership
+{
+
+/// What this instance tells others about its replicated state.
+struct local_state
+{
+    /// Offset of the last reduced record.
+    core::log_offset state_offset = 0;
+    /// First 8 bytes of the chain digest at that offset.
+    std::uint64_t chain_digest = 0;
+    /// Offset of the last accepted edit.
+    core::log_offset document_version = 0;
+    /// Whether the instance serves callers.
+    bool ready = false;
+};
+
+} // namespace kumquatloom::membership
+
+#endif
--- /dev/null
+++ b/kumquatloom/membership/member_table_settings.hpp
@@ -0,0 +1,31 @@
+#ifndef KUMQUATLOOM_MEMBERSHIP_MEMBER_TABLE_SETTINGS_HPP
+#define KUMQUATLOOM_MEMBERSHIP_MEMBER_TABLE_SETTINGS_HPP
+
+#include <chrono>
+#include <cstddef>
+
+namespace kumquatloom::membership
+{
+
+/// Times and bounds of a member table (section 5.7 of the design).
+struct member_table_settings
+{
+    /// Silence after which a member is suspect.
+    std::chrono::milliseconds suspect_after{1500};
+    /// Silence after which a member is dead.
+    std::chrono::milliseconds dead_after{3000};
+    /// Time for which a removed member is remembered, which must exceed the
+    /// lag of the instance list.
+    std::chrono::seconds tombstone_lifetime{120};
+    /// Time for which a member that only a peer named is kept unheard.
+    std::chrono::seconds contact_lifetime{10};
+    /// Most members; a cell has 32, and twice as many overlap while a fleet is
+    /// replaced.
+    std::size_t max_members = 64;
+    /// Most tombstones; the oldest one is dropped first.
+    std::size_t max_tombstones = 256;
+};
+
+} // namespace kumquatloom::membership
+
+#endif
--- /dev/null
+++ b/kumquatloom/membership/outbox.hpp
@@ -0,0 +1,26 @@
+#ifndef KUMQUATLOOM_MEMBERSHIP_OUTBOX_HPP
+#define KUMQUATLOOM_MEMBERSHIP_OUTBOX_HPP
+
+#include <kumquatloom/membership/datagram.hpp>
+#include <kumquatloom/membership/push_order.hpp>
+#include <kumquatloom/membership/sync_order.hpp>
+
+#include <vector>
+
+namespace kumquatloom::membership
+{
+
+/// What a step of the protocol wants to have sent.
+struct outbox
+{
+    /// Datagrams to send now.
+    std::vector<datagram> datagrams;
+    /// Requests for records.
+    std::vector<sync_order> syncs;
+    /// Records to push.
+    std::vector<push_order> pushes;
+};
+
+} // namespace kumquatloom::membership
+
+#endif
--- /dev/null
+++ b/kumquatloom/membership/push_order.hpp
@@ -0,0 +1,23 @@
+#ifndef KUMQUATLOOM_MEMBERSHIP_PUSH_ORDER_HPP
+#define KUMQUATLOOM_MEMBERSHIP_PUSH_ORDER_HPP
+
+#include <kumquatloom/core/ids.hpp>
+#include <kumquatloom/peer/destination.hpp>
+
+namespace kumquatloom::membership
+{
+
+/// Records to push to a peer over a stream, as a sync response with nonce 0.
+struct push_order
+{
+    /// The peer.
+    core::instance_id peer;
+    /// Its address.
+    peer::destination to;
+    /// First offset that the peer lacks.
+    core::log_offset from = 0;
+};
+
+} // namespace kumquatloom::membership
+
+#endif
--- /dev/null
+++ b/kumquatloom/membership/spread_plan.cpp
@@ -0,0 +1,111 @@
+#include <kumquatloom/membership/spread_plan.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace kumquatloom::membership
+{
+
+spread_plan::spread_plan(spread_plan_settings settings,
+                         core::failure_domain own_domain,
+                         std::uint64_t seed)
+    : settings_(settings)
+    , own_domain_(std::move(own_domain))
+    , random_(seed)
+{
+}
+
+void spread_plan::push(member_table const& table,
+                       local_state const& local,
+                       outbox& out)
+{
+    for (auto const& [id, item] : table.members())
+    {
+        // Suspect and leaving members still serve and need the records.
+        bool const reachable = item.heard() && item.state != member_state::dead;
+        if (reachable && item.state_offset < local.state_offset)
+            out.pushes.push_back(
+                {id,
+                 {item.peer_address, peer::peer_scope::same_region},
+                 item.state_offset + 1});
+    }
+}
+
+void spread_plan::tick(member_table const& table,
+                       local_state const& local,
+                       core::time_point now,
+                       outbox& out)
+{
+    if (asked_ && now - asked_->sent >= settings_.timeout)
+        asked_.reset();
+    std::vector<member const*> ahead;
+    for (auto const& entry : table.members())
+        if (entry.second.live() &&
+            entry.second.state_offset > local.state_offset)
+            ahead.push_back(&entry.second);
+    if (ahead.empty())
+    {
+        behind_since_.reset();
+        return;
+    }
+    if (!behind_since_)
+        behind_since_ = now;
+    if (asked_ || now - *behind_since_ < settings_.grace)
+        return;
+    // A random choice spreads the load and does not repeat one that failed.
+    std::shuffle(ahead.begin(), ahead.end(), random_);
+    auto const best =
+        std::min_element(ahead.begin(),
+                         ahead.end(),
+                         [this](member const* left, member const* right)
+                         {
+                             return (left->failure_domain == own_domain_) >
+                                    (right->failure_domain == own_domain_);
+                         });
+    member const& chosen = **best;
+    ask(chosen.id,
+        {chosen.peer_address, peer::peer_scope::same_region},
+        local,
+        now,
+        out);
+}
+
+void spread_plan::ask_outside(core::instance_id const& peer,
+                              peer::destination const& to,
+                              local_state const& local,
+                              core::time_point now,
+                              outbox& out)
+{
+    if (!asked_)
+        ask(peer, to, local, now, out);
+}
+
+std::optional<core::time_point> spread_plan::answered(std::uint64_t nonce)
+{
+    if (!asked_ || asked_->nonce != nonce)
+        return std::nullopt;
+    auto const sent = asked_->sent;
+    asked_.reset();
+    return sent;
+}
+
+void spread_plan::failed(std::uint64_t nonce)
+{
+    if (asked_ && asked_->nonce == nonce)
+        asked_.reset();
+}
+
+void spread_plan::ask(core::instance_id const& peer,
+                      peer::destination const& to,
+                      local_state const& local,
+                      core::time_point now,
+                      outbox& out)
+{
+    // Nonce 0 marks a push, so a request never has it.
+    std::uint64_t const nonce = random_() | 1U;
+    asked_ = request{nonce, now};
+    out.syncs.push_back(
+        {peer, to, peer::sync_request{nonce, local.state_offset + 1, 0, 0}});
+}
+
+} // namespace kumquatloom::membership
--- /dev/null
+++ b/kumquatloom/membership/sync_order.hpp
@@ -0,0 +1,24 @@
+#ifndef KUMQUATLOOM_MEMBERSHIP_SYNC_ORDER_HPP
+#define KUMQUATLOOM_MEMBERSHIP_SYNC_ORDER_HPP
+
+#include <kumquatloom/core/ids.hpp>
+#include <kumquatloom/peer/destination.hpp>
+#include <kumquatloom/peer/sync_request.hpp>
+
+namespace kumquatloom::membership
+{
+
+/// A sync request to send over a stream. Its outcome must be reported back.
+struct sync_order
+{
+    /// The peer to ask.
+    core::instance_id peer;
+    /// Its address.
+    peer::destination to;
+    /// The request.
+    peer::sync_request request;
+};
+
+} // namespace kumquatloom::membership
+
+#endif
