--- a/kumquatloom/cli/commands.hpp
+++ b/kumquatloom/cli/commands.hpp
@@ -11,6 +11,8 @@
 int run_check(std::vector<std::string> const& arguments);
 /// Shows, edits and publishes the document.
 int run_document(std::vector<std::string> const& arguments);
+/// Asks an instance which entry instances callers should use.
+int run_entries(std::vector<std::string> const& arguments);
 /// Prints the default settings.
 int run_settings(std::vector<std::string> const& arguments);
 /// Runs an entry instance until it has left.
