--- a/kumquatloom/cli/command.cpp
+++ b/kumquatloom/cli/command.cpp
@@ -12,6 +12,8 @@
         {"entries", "ask which entry instances to use", run_entries},
         {"settings", "print the default settings", run_settings},
         {"serve", "run an entry instance", run_serve},
+        {"status", "show the state of an entry instance", run_status},
+        {"drain", "let an entry instance leave", run_drain},
     };
     return commands;
 }
