--- a/kumquatloom/cli/command.cpp
+++ b/kumquatloom/cli/command.cpp
@@ -8,6 +8,8 @@
 {
     static std::vector<command> const commands = {
         {"check", "check a settings file or a document", run_check},
+        {"document", "show, edit and publish the document", run_document},
+        {"entries", "ask which entry instances to use", run_entries},
         {"settings", "print the default settings", run_settings},
         {"serve", "run an entry instance", run_serve},
         {"status", "show the state of an entry instance", run_status},
--- a/kumquatloom/cli/drain_command.cpp
+++ b/kumquatloom/cli/drain_command.cpp
@@ -1,7 +1,7 @@
 #include <kumquatloom/cli/command.hpp>
 #include <kumquatloom/cli/command_line.hpp>
 #include <kumquatloom/cli/commands.hpp>
-#include <kumquatloom/cli/operator_client.hpp>
+#include <kumquatloom/cli/operator_request.hpp>
 
 #include <cxxopts.hpp>
 
--- a/kumquatloom/cli/operator_client.cpp
+++ b/kumquatloom/cli/operator_client.cpp
@@ -1,16 +1,13 @@
+#include <kumquatloom/cli/blocking.hpp>
 #include <kumquatloom/cli/operator_client.hpp>
-#include <kumquatloom/settings/endpoint.hpp>
+#include <kumquatloom/core/json_reader.hpp>
+#include <kumquatloom/document/log_record.hpp>
 
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
-#include <boost/beast/http/string_body.hpp>
-#include <boost/beast/http/write.hpp>
+#include <boost/json/serialize.hpp>
+#include <boost/json/value.hpp>
 
-#include <iostream>
+#include <chrono>
+#include <limits>
 #include <utility>
 
 namespace kumquatloom::cli
@@ -19,121 +16,128 @@
 namespace
 {
 
-namespace asio = boost::asio;
-namespace beast = boost::beast;
-namespace http = boost::beast::http;
+constexpr std::uint64_t max_offset = std::numeric_limits<std::int64_t>::max();
+constexpr unsigned status_ok = 200;
+constexpr std::size_t max_document_bytes = 256 * 1024 * 1024;
 
-/// Time for the whole request.
-constexpr std::chrono::seconds answer_timeout{10};
-/// Largest answer: a document.
-constexpr std::size_t answer_limit_bytes = 64 * 1024 * 1024;
+/// The version in a response; nothing if it has none.
+std::optional<core::log_offset> version_of(boost::json::value const& value,
+                                           std::string_view key)
+{
+    core::fault_list faults;
+    core::json_reader reader(value, "", faults);
+    auto const version = reader.number(key, 0, max_offset);
+    if (!faults.empty())
+        return std::nullopt;
+    return version;
+}
 
-/// One request on a connection of its own. Its operations are asynchronous,
-/// since only these are bounded by the stream's timer.
-class exchange
+/// The name in a status: a text, or an object with an id.
+std::string name_of(boost::json::value const& value)
 {
-public:
-    exchange(asio::ip::tcp::endpoint peer,
-             http::request<http::string_body> request)
-        : peer_(std::move(peer))
-        , request_(std::move(request))
-        , stream_(context_)
-    {
-        parser_.body_limit(answer_limit_bytes);
-    }
+    auto const* const object = value.if_object();
+    auto const* name = object ? object->if_contains("instance") : nullptr;
+    if (name != nullptr && name->is_object())
+        name = name->get_object().if_contains("id");
+    return name != nullptr && name->is_string()
+               ? std::string(name->get_string())
+               : std::string();
+}
 
-    /// Runs it to its end.
-    boost::system::error_code run()
-    {
-        stream_.expires_after(answer_timeout);
-        stream_.async_connect(peer_,
-                              [this](boost::system::error_code error)
-                              {
-                                  connected(error);
-                              });
-        context_.run();
-        return error_;
-    }
+} // namespace
 
-    /// The answer, after run() without an error.
-    http::response<http::string_body> const& answer() const
-    {
-        return parser_.get();
-    }
+operator_client::operator_client(settings::endpoint address,
+                                 std::chrono::milliseconds timeout)
+    : client_(std::move(address), {timeout, max_document_bytes})
+{
+}
 
-private:
-    void connected(boost::system::error_code error)
-    {
-        error_ = error;
-        if (error)
-            return;
-        http::async_write(stream_,
-                          request_,
-                          [this](boost::system::error_code failure, std::size_t)
-                          {
-                              written(failure);
-                          });
-    }
+core::result<instance_status, operator_failure> operator_client::status() const
+{
+    auto body = fetch("/status");
+    if (!body)
+        return body.error();
+    core::fault_list faults;
+    auto const value = core::parse_json(body.value(), faults);
+    auto const version = value ? version_of(*value, "document_version")
+                               : std::optional<core::log_offset>();
+    if (!version)
+        return operator_failure{std::string("its status has no version")};
+    instance_status status;
+    status.name = name_of(*value);
+    if (status.name.empty())
+        status.name = settings::to_string(client_.server());
+    status.document_version = *version;
+    return status;
+}
 
-    void written(boost::system::error_code error)
+core::result<shown_document, operator_failure>
+operator_client::document(std::string const& part) const
+{
+    auto body = fetch("/document");
+    if (!body)
+        return body.error();
+    core::fault_list faults;
+    auto const value = core::parse_json(body.value(), faults);
+    auto const version = value ? version_of(*value, "version")
+                               : std::optional<core::log_offset>();
+    auto const* const whole =
+        version ? value->get_object().if_contains("document") : nullptr;
+    if (whole == nullptr || !whole->is_object())
+        return operator_failure{std::string("its answer has another form")};
+    auto const& object = whole->get_object();
+    auto const* shown = whole;
+    if (part == document::owners_part || part == document::fleet_part)
+        shown = object.if_contains(part);
+    else if (!part.empty())
     {
-        error_ = error;
-        if (error)
-            return;
-        http::async_read(stream_,
-                         buffer_,
-                         parser_,
-                         [this](boost::system::error_code failure, std::size_t)
-                         {
-                             error_ = failure;
-                         });
+        auto const* const sections = object.if_contains("sections");
+        shown = sections && sections->is_object()
+                    ? sections->get_object().if_contains(part)
+                    : nullptr;
     }
+    if (shown == nullptr)
+        return operator_failure{"there is no section " + part};
+    return shown_document{*version, boost::json::serialize(*shown)};
+}
 
-    /// Where the instance listens.
-    asio::ip::tcp::endpoint peer_;
-    /// What is sent.
-    http::request<http::string_body> request_;
-    /// Runs the operations.
-    asio::io_context context_;
-    /// The connection.
-    beast::tcp_stream stream_;
-    /// Bytes that were read.
-    beast::flat_buffer buffer_;
-    /// Reads the answer.
-    http::response_parser<http::string_body> parser_;
-    /// The result of the last operation.
-    boost::system::error_code error_;
-};
-
-} // namespace
-
-std::optional<operator_answer> ask_instance(std::string const& address,
-                                            std::string_view method,
-                                            std::string_view path,
-                                            std::string body)
+document::edit_report
+operator_client::append(document::edit_record const& edit) const
 {
-    auto const endpoint = settings::parse_endpoint(address);
-    if (!endpoint)
+    document::edit_report report;
+    report.id = edit.id;
+    auto const response =
+        run_blocking(client_.post("/document/edits", document::to_text(edit)));
+    if (!response)
     {
-        std::cerr << address << ": is not an address of the form ip:port\n";
-        return std::nullopt;
-    }
-    http::request<http::string_body> request;
-    request.method_string(method);
-    request.target(path);
-    request.set(http::field::host, address);
-    request.keep_alive(false);
-    request.body() = std::move(body);
-    request.prepare_payload();
-    exchange running({asio::ip::make_address(endpoint->host), endpoint->port},
-                     std::move(request));
-    if (auto const error = running.run())
-    {
-        std::cerr << address << ": " << error.message() << '\n';
-        return std::nullopt;
+        if (response.error() == platform::http_error::not_connected)
+            report.result = document::edit_result::rejected;
+        report.reason = "the instance did not answer (" +
+                        std::string(platform::to_string(response.error())) +
+                        ')';
+        return report;
     }
-    auto const& answer = running.answer();
-    return operator_answer{answer.result_int(), answer.body()};
+    auto const parsed = document::parse_edit_report(response.value().body);
+    // A report about another record says nothing about this one.
+    if (parsed && parsed->id == edit.id)
+        return *parsed;
+    report.reason = "the instance answered with status " +
+                    std::to_string(response.value().status);
+    return report;
+}
+
+core::result<std::string, operator_failure>
+operator_client::fetch(std::string target) const
+{
+    auto response = run_blocking(client_.fetch(std::move(target)));
+    if (!response)
+        return operator_failure{
+            "no answer (" + std::string(platform::to_string(response.error())) +
+            ')'};
+    if (response.value().status != status_ok)
+        return operator_failure{"status " +
+                                std::to_string(response.value().status)};
+    return std::move(response.value().body);
 }
 
 } // namespace kumquatloom::cli
