--- a/kumquatloom/document/log_record.cpp
+++ b/kumquatloom/document/log_record.cpp
@@ -106,6 +106,7 @@
     record.service = core::service_name(read_name(reader, "service"));
     record.upstream = core::upstream_id(read_name(reader, "upstream"));
     record.slot = reader.number("slot", 0, max_slot);
+    record.ejection = reader.number("ejection", 0, max_number);
     return record;
 }
 
@@ -163,7 +164,8 @@
             {"id", record.id},
             {"service", record.service.value()},
             {"upstream", record.upstream.value()},
-            {"slot", record.slot}};
+            {"slot", record.slot},
+            {"ejection", record.ejection}};
 }
 
 } // namespace
--- a/kumquatloom/document/readmit_record.hpp
+++ b/kumquatloom/document/readmit_record.hpp
@@ -19,6 +19,9 @@
     core::upstream_id upstream;
     /// The slot that the upstream holds.
     std::uint64_t slot = 0;
+    /// Offset of the ejection that ends, so that a late duplicate does not end
+    /// a newer one.
+    core::log_offset ejection = 0;
 
     friend bool operator==(readmit_record const&,
                            readmit_record const&) = default;
--- a/kumquatloom/peer/sync_response.hpp
+++ b/kumquatloom/peer/sync_response.hpp
@@ -1,6 +1,7 @@
 #ifndef KUMQUATLOOM_PEER_SYNC_RESPONSE_HPP
 #define KUMQUATLOOM_PEER_SYNC_RESPONSE_HPP
 
+#include <kumquatloom/core/digest.hpp>
 #include <kumquatloom/core/ids.hpp>
 #include <kumquatloom/peer/bounded.hpp>
 #include <kumquatloom/peer/limits.hpp>
@@ -33,6 +34,8 @@
     std::chrono::milliseconds freshness_age{0};
     /// Records in the order of the log.
     std::vector<sync_record> records;
+    /// Chain digest after the last of the records.
+    core::sha256_digest chain_after{};
     /// Offset of the snapshot that the part belongs to; 0 if there is none.
     core::log_offset snapshot_offset = 0;
     /// Size of the whole snapshot.
@@ -49,6 +52,8 @@
         archive(nonce, state_offset, chain_digest);
         archive(wire_milliseconds(freshness_age));
         archive(bounded<max_sync_records>(records));
+        for (auto& byte : chain_after)
+            archive(byte);
         archive(snapshot_offset, snapshot_size, snapshot_position);
         archive(bounded<max_record_bytes>(snapshot_part));
     }
