--- a/unit_tests/entry/entry_fixture.cpp
+++ b/unit_tests/entry/entry_fixture.cpp
@@ -94,6 +94,18 @@
     list("dead", bound.local_endpoint().port());
 }
 
+void entry_fixture::add_entry(std::string const& id, std::uint16_t port)
+{
+    list_.upsert({{"id", id},
+                  {"kind", "entry"},
+                  {"host", "127.0.0.1"},
+                  {"port", port},
+                  {"peer_port", 0},
+                  {"failure_domain", "domain"},
+                  {"region", "region"},
+                  {"state", "live"}});
+}
+
 void entry_fixture::start()
 {
     thread_ = std::thread(
--- a/unit_tests/entry/entry_fixture.hpp
+++ b/unit_tests/entry/entry_fixture.hpp
@@ -36,6 +36,9 @@
     /// Adds an upstream that refuses connections.
     void add_dead_upstream();
 
+    /// Lists another entry instance.
+    void add_entry(std::string const& id, std::uint16_t port);
+
     /// Starts the instance and waits until it is ready.
     void start();
 
