--- a/kumquatloom/limits/rate_share.cpp
+++ b/kumquatloom/limits/rate_share.cpp
@@ -81,6 +81,7 @@
     , burst_(burst_of(base, settings.burst_time))
     , taken_(parts_per_token)
     , measured_(now)
+    , used_(now)
 {
     BOOST_ASSERT(settings.lendable_percent <= 100);
     words_.write({0, to_word(now), 0, 0, to_word(now)});
@@ -125,7 +126,11 @@
         borrowed_.size() >= settings_.max_grants)
         return std::nullopt;
     asked_ = now;
-    pending_ = pending_request{++last_number_, refused_rate_, now};
+    // The time makes numbers unique even if an idle share was dropped and made
+    // anew within one incarnation.
+    last_number_ =
+        std::max(last_number_ + 1, static_cast<std::uint64_t>(to_word(now)));
+    pending_ = pending_request{last_number_, refused_rate_, now};
     return share_request{
         key_, self_.id, self_.incarnation, last_number_, refused_rate_};
 }
@@ -185,6 +190,13 @@
     return true;
 }
 
+bool rate_share::idle(core::time_point now, core::duration time) const
+{
+    return lent_.empty() && borrowed_.empty() && now - used_ >= time &&
+           served_.load(std::memory_order_relaxed) == 0 &&
+           refused_.load(std::memory_order_relaxed) == 0;
+}
+
 rate_share::published_state rate_share::state() const
 {
     auto const words = words_.read();
@@ -255,11 +267,13 @@
     auto const time = now - measured_;
     if (time < least_measurement)
         return;
-    served_rate_ =
-        rate_of(served_.exchange(0, std::memory_order_relaxed), time);
-    refused_rate_ =
-        rate_of(refused_.exchange(0, std::memory_order_relaxed), time);
+    auto const served = served_.exchange(0, std::memory_order_relaxed);
+    auto const refused = refused_.exchange(0, std::memory_order_relaxed);
+    served_rate_ = rate_of(served, time);
+    refused_rate_ = rate_of(refused, time);
     measured_ = now;
+    if (served + refused > 0)
+        used_ = now;
 }
 
 } // namespace kumquatloom::limits
--- a/kumquatloom/limits/rate_share.hpp
+++ b/kumquatloom/limits/rate_share.hpp
@@ -111,6 +111,16 @@
     /// latest request or is late.
     bool accept(share_grant const& grant, core::time_point now);
 
+    /// The limit.
+    share_key const& key() const
+    {
+        return key_;
+    }
+
+    /// Whether nothing was asked of the share for a time and no grant is in
+    /// force, so that a new share in its place behaves the same.
+    bool idle(core::time_point now, core::duration time) const;
+
 private:
     /// What was lent to a peer.
     struct lent_share
@@ -196,6 +206,8 @@
     std::atomic<std::uint64_t> refused_{0};
     /// When the demand was measured last.
     core::time_point measured_;
+    /// When a request was last found by a measurement.
+    core::time_point used_;
     /// Measured rate of served requests.
     micro_rate served_rate_ = 0;
     /// Measured rate of refused requests.
