Cap the evidence of one observer and tell overload from sickness

An observer now brings at most half of the avoidance score, late responses do not count while most upstreams refuse work, and thresholds are renewed at every tick.

--- a/kumquatloom/health/attempt_recorder.cpp
+++ b/kumquatloom/health/attempt_recorder.cpp
@@ -47,6 +47,8 @@
         add(wrong_);
         break;
     case attempt_result::refused:
+        add(refused_);
+        break;
     case attempt_result::cancelled:
     case attempt_result::count:
         break;
@@ -66,6 +68,11 @@
     return counts;
 }
 
+std::uint32_t attempt_recorder::drain_refusals()
+{
+    return take(refused_);
+}
+
 double attempt_recorder::smoothed_success() const
 {
     return static_cast<double>(success_.load(std::memory_order_relaxed)) /
--- a/kumquatloom/health/attempt_recorder.hpp
+++ b/kumquatloom/health/attempt_recorder.hpp
@@ -24,6 +24,9 @@
     /// Returns the counts since the last call and starts again from zero.
     evidence_counts drain();
 
+    /// Returns the number of refusals since the last call and starts again.
+    std::uint32_t drain_refusals();
+
     /// Successful attempts that take longer than this count as late.
     void judge_late_above(core::duration threshold)
     {
@@ -51,6 +54,8 @@
     std::atomic<std::uint32_t> timeout_{0};
     std::atomic<std::uint32_t> wrong_{0};
     std::atomic<std::uint32_t> late_{0};
+    /// Refusals since the last drain.
+    std::atomic<std::uint32_t> refused_{0};
     /// Smoothed latency in ticks of core::duration.
     std::atomic<core::duration::rep> latency_{0};
     /// Smoothed success in millionths.
--- a/kumquatloom/health/health_monitor.cpp
+++ b/kumquatloom/health/health_monitor.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cmath>
+#include <map>
 #include <set>
 #include <utility>
 
@@ -18,6 +19,12 @@
 /// Score at which an observer tells its peers: one failure or two late
 /// responses in a row. Single late responses are too common to be sent.
 constexpr double interest_score = 4.5;
+/// An upstream leaves the interest set early once nothing counts against it
+/// for this long, because chance clusters of late responses are frequent.
+constexpr core::duration benign_time = 1s;
+/// Part of the avoidance score that one observer can bring to the evidence of
+/// all observers.
+constexpr double observer_cap = 0.5;
 /// Bad evidence keeps an upstream in the interest set for this long.
 constexpr core::duration interest_time = 5s;
 /// Part of the avoidance score that observers other than the loudest one must
@@ -37,9 +44,8 @@
 constexpr core::duration warm_up = 10s;
 /// Trial requests are spread over this time, so that the first results stop
 /// the other instances of the domain.
-constexpr core::duration trial_spread = 3s;
+constexpr core::duration trial_spread = 20s;
 constexpr unsigned max_trials = 2;
-constexpr core::duration threshold_interval = 500ms;
 /// Episodes end before their counts exceed 16 bits.
 constexpr std::uint32_t max_episode_attempts = 60000;
 /// Smoothed latencies of a region that make a median.
@@ -50,6 +56,13 @@
     return static_cast<std::uint32_t>(core::stable_hash(upstream.value()));
 }
 
+/// Number of bad attempts. Wrong answers count twice, since healthy upstreams
+/// give none.
+unsigned bad_weight(evidence_counts const& counts)
+{
+    return counts.bad() + counts.wrong;
+}
+
 evidence_counts counts_of(attempt_result result)
 {
     attempt_recorder one;
@@ -75,7 +88,8 @@
     {
         auto* const known = find(tracked.id);
         auto& state = next.emplace_back();
-        if (known != nullptr)
+        // Another recorder belongs to another process of the same name.
+        if (known != nullptr && known->tracked.recorder == tracked.recorder)
             state = std::move(*known);
         else
             // Whoever starts finds its upstreams warm.
@@ -146,8 +160,8 @@
         window.observe_from(message.domain);
         auto const news = window.news_of(entry);
         double const weight = detector_.weigh(news, background_);
+        add_merged(state, window, news, weight, received);
         window.add(news, weight, received);
-        state.merged.add(news, weight, received);
         if (news.bad() > 0)
             raise_interest(state, received);
     }
@@ -163,14 +177,14 @@
         state.recent_total *= keep;
         state.recent_failed *= keep;
         state.recent_late *= keep;
-        if (state.tracked.recorder)
-            add_own(state, state.tracked.recorder->drain(), now);
-    }
-    if (now - thresholds_renewed_ >= threshold_interval)
-    {
-        thresholds_renewed_ = now;
-        renew_thresholds();
+        state.recent_refused *= keep;
+        if (!state.tracked.recorder)
+            continue;
+        state.recent_refused += state.tracked.recorder->drain_refusals();
+        add_own(state, state.tracked.recorder->drain(), now);
     }
+    // Renewed at every tick, as latencies double within 200 ms of an overload.
+    renew_thresholds();
     renew_background();
     // Decide with the evidence of all observers.
     judge_causes(now);
@@ -178,8 +192,24 @@
         decide(state, now);
 }
 
+bool health_monitor::export_due(core::time_point now) const
+{
+    // Half a tick of tolerance keeps the interval from growing to a multiple
+    // of the tick.
+    if (suspects_itself_ ||
+        now - exported_ < export_interval - tick_interval / 2)
+        return false;
+    return std::any_of(upstreams_.begin(),
+                       upstreams_.end(),
+                       [&](upstream_evidence const& state)
+                       {
+                           return is_of_interest(state, now);
+                       });
+}
+
 evidence_message health_monitor::export_evidence(core::time_point now)
 {
+    exported_ = now;
     evidence_message message;
     message.service = settings_.service;
     message.observer = settings_.observer;
@@ -193,7 +223,7 @@
     {
         std::size_t const at = (export_from_ + i) % size;
         auto const& state = upstreams_[at];
-        if (now >= state.interest_until || state.episode_counts.total() == 0)
+        if (!is_of_interest(state, now))
             continue;
         if (message.entries.size() == max_evidence_entries)
         {
@@ -332,7 +362,7 @@
                              evidence_counts counts,
                              core::time_point now)
 {
-    if (now - state.first_seen < warm_up)
+    if (now - state.first_seen < warm_up || service_is_overloaded_)
         counts.late = 0;
     if (counts.total() == 0)
         return;
@@ -341,14 +371,30 @@
     state.recent_late += counts.late;
     state.episode_counts += counts;
     double const weight = detector_.weigh(counts, background_);
-    state.own.add(counts, weight, now);
     // A suspect observer does not count its own evidence.
     if (!suspects_itself_)
-        state.merged.add(counts, weight, now);
+        add_merged(state, state.own, counts, weight, now);
+    state.own.add(counts, weight, now);
     if (counts.bad() > 0 && state.own.score() >= interest_score)
         raise_interest(state, now);
 }
 
+void health_monitor::add_merged(upstream_evidence& state,
+                                observer_window const& window,
+                                evidence_counts const& counts,
+                                double weight,
+                                core::time_point now) const
+{
+    double const cap = observer_cap * settings_.detection.avoid_score;
+    state.merged.add(counts, window.counted_part(weight, cap), now);
+}
+
+bool health_monitor::is_of_interest(upstream_evidence const& state,
+                                    core::time_point now)
+{
+    return now < state.interest_until && state.episode_counts.total() > 0;
+}
+
 void health_monitor::raise_interest(upstream_evidence& state,
                                     core::time_point now)
 {
@@ -363,30 +409,31 @@
 
 void health_monitor::renew_thresholds()
 {
-    std::vector<core::duration> others;
-    auto const collect = [&](upstream_evidence const& state, bool region_alone)
+    // Sort the latencies of each region, and those of all regions.
+    std::map<core::region, std::vector<core::duration>> by_region;
+    std::vector<core::duration> all;
+    for (auto const& state : upstreams_)
     {
-        others.clear();
-        for (auto const& other : upstreams_)
-        {
-            if (&other == &state || !other.tracked.recorder ||
-                (region_alone && other.tracked.region != state.tracked.region))
-                continue;
-            auto const latency = other.tracked.recorder->smoothed_latency();
-            if (latency > core::duration::zero())
-                others.push_back(latency);
-        }
-    };
+        if (!state.tracked.recorder)
+            continue;
+        auto const latency = state.tracked.recorder->smoothed_latency();
+        if (latency <= core::duration::zero())
+            continue;
+        by_region[state.tracked.region].push_back(latency);
+        all.push_back(latency);
+    }
+    std::sort(all.begin(), all.end());
+    for (auto& [region, latencies] : by_region)
+        std::sort(latencies.begin(), latencies.end());
     for (auto& state : upstreams_)
     {
         if (!state.tracked.recorder)
             continue;
         // Other regions serve as a measure only where there is no better one.
-        collect(state, true);
-        if (others.size() < min_latencies)
-            collect(state, false);
-        state.tracked.recorder->judge_late_above(
-            detector_.late_threshold(others));
+        auto const& region = by_region[state.tracked.region];
+        auto const& group = region.size() > min_latencies ? region : all;
+        state.tracked.recorder->judge_late_above(detector_.late_threshold(
+            group, state.tracked.recorder->smoothed_latency()));
     }
 }
 
@@ -432,6 +479,7 @@
     unsigned own_bad = 0;
     unsigned seen = 0;
     unsigned sick = 0;
+    unsigned refusing = 0;
     for (auto const& state : upstreams_)
     {
         bool const is_sampled = state.recent_total >= 1;
@@ -440,6 +488,8 @@
             state.course.standing() == upstream_standing::ejected;
         if (is_sampled)
             ++in_use;
+        if (state.recent_refused >= 1)
+            ++refusing;
         if (state.own.score() >= interest_score &&
             now - state.own.last_bad() < interest_time)
             ++own_bad;
@@ -451,6 +501,7 @@
     }
     suspects_itself_ =
         own_bad >= spread_least && own_bad > spread_fraction * in_use;
+    service_is_overloaded_ = refusing >= 2 && 2 * refusing > in_use;
     cause_is_shared_ = sick >= 2 && 2 * sick > seen;
 }
 
@@ -462,12 +513,12 @@
         return false;
     // This instance alone saw enough.
     if (!suspects_itself_ && state.own.score() >= asked.avoid_score &&
-        state.own.run().bad() >= asked.min_bad)
+        bad_weight(state.own.run()) >= asked.min_bad)
         return true;
     unsigned observers = 0;
     double const others = support(state, now, observers);
     return state.merged.score() >= asked.avoid_score &&
-           state.merged.run().bad() >= asked.min_bad &&
+           bad_weight(state.merged.run()) >= asked.min_bad &&
            observers >= asked.min_observers &&
            others >= asked.avoid_score * support_fraction;
 }
@@ -514,6 +565,10 @@
 void health_monitor::decide(upstream_evidence& state, core::time_point now)
 {
     bool const is_quiet = now - state.merged.last_bad() >= interest_time;
+    bool const is_benign = state.merged.score() <= 0 &&
+                           now - state.merged.last_bad() >= benign_time;
+    if (is_benign)
+        state.interest_until = std::min(state.interest_until, now);
     switch (state.course.standing())
     {
     case upstream_standing::normal:
--- a/kumquatloom/health/health_monitor.hpp
+++ b/kumquatloom/health/health_monitor.hpp
@@ -56,6 +56,11 @@
     /// Drains the recorders and decides.
     void tick(core::time_point now);
 
+    /// Whether evidence should be sent now: something is of interest, and the
+    /// last message is an interval old. The first evidence of an incident is
+    /// thus sent at the next tick. Asked after each tick.
+    bool export_due(core::time_point now) const;
+
     /// Evidence for the peers; has no entries in quiet times, and then need
     /// not be sent.
     evidence_message export_evidence(core::time_point now);
@@ -103,6 +108,12 @@
         return cause_is_shared_;
     }
 
+    /// Whether most upstreams refuse work, so that lateness is no fault.
+    bool service_is_overloaded() const
+    {
+        return service_is_overloaded_;
+    }
+
 private:
     /// Last message from one peer.
     struct peer_state
@@ -118,6 +129,9 @@
     /// Adds own attempts.
     void
     add_own(upstream_evidence& state, evidence_counts counts, core::time_point);
+    /// Whether an own message about the upstream is wanted.
+    static bool is_of_interest(upstream_evidence const& state,
+                               core::time_point now);
     /// Starts or prolongs the export of evidence about an upstream.
     void raise_interest(upstream_evidence& state, core::time_point now);
     /// Renews the late thresholds from the smoothed latencies.
@@ -130,6 +144,12 @@
     bool looks_sick(upstream_evidence const& state, core::time_point now) const;
     /// Whether wrong answers alone suffice; they have no shared cause.
     bool answers_wrong(upstream_evidence const& state) const;
+    /// Adds one observer's evidence to what all observers saw.
+    void add_merged(upstream_evidence& state,
+                    observer_window const& window,
+                    evidence_counts const& counts,
+                    double weight,
+                    core::time_point now) const;
     /// Sum of the observers' scores without the largest one's.
     double support(upstream_evidence const& state,
                    core::time_point now,
@@ -155,8 +175,8 @@
     std::unordered_map<core::instance_id, peer_state> peers_;
     /// What healthy upstreams show.
     background_rates background_;
-    /// When the late thresholds were last renewed.
-    core::time_point thresholds_renewed_;
+    /// When the last evidence was exported.
+    core::time_point exported_;
     /// Sequence number of the last message.
     std::uint32_t sequence_ = 0;
     /// Where the next message starts if not all entries fit.
@@ -165,6 +185,8 @@
     bool suspects_itself_ = false;
     /// See cause_is_shared().
     bool cause_is_shared_ = false;
+    /// See service_is_overloaded().
+    bool service_is_overloaded_ = false;
 };
 
 } // namespace kumquatloom::health
--- a/kumquatloom/health/observer_window.hpp
+++ b/kumquatloom/health/observer_window.hpp
@@ -34,6 +34,14 @@
         return news;
     }
 
+    /// The part of a weight that counts beside other observers. An observer
+    /// whose score has reached `cap` has said all that it can: what goes on
+    /// failing for it alone must not outweigh what the others see.
+    double counted_part(double weight, double cap) const
+    {
+        return std::min(weight, std::max(0.0, cap - score_));
+    }
+
     /// Adds attempts that weigh `weight`, seen at `now`.
     void add(evidence_counts const& counts, double weight, core::time_point now)
     {
--- a/kumquatloom/health/outlier_detector.cpp
+++ b/kumquatloom/health/outlier_detector.cpp
@@ -21,7 +21,7 @@
 constexpr double min_late_rate = 0.005;
 /// Healthy upstreams do not send answers that fail verification, but one
 /// corrupted connection must not be conclusive either.
-constexpr double wrong_rate = 0.0005;
+constexpr double wrong_rate = 0.0001;
 /// The estimate of the background is doubled, because it is made from few
 /// samples and healthy upstreams differ.
 constexpr double background_margin = 2;
@@ -56,16 +56,21 @@
 }
 
 core::duration
-outlier_detector::late_threshold(std::vector<core::duration>& others) const
+outlier_detector::late_threshold(std::vector<core::duration> const& sorted,
+                                 core::duration own) const
 {
-    if (others.empty())
+    auto const found = std::lower_bound(sorted.begin(), sorted.end(), own);
+    bool const is_in_group = found != sorted.end() && *found == own;
+    std::size_t const others = sorted.size() - (is_in_group ? 1 : 0);
+    if (others == 0)
         return core::duration::max();
     // The lower median, so that of two others the quicker one counts.
-    auto const middle =
-        others.begin() + static_cast<std::ptrdiff_t>((others.size() - 1) / 2);
-    std::nth_element(others.begin(), middle, others.end());
+    std::size_t median = (others - 1) / 2;
+    if (is_in_group &&
+        median >= static_cast<std::size_t>(found - sorted.begin()))
+        ++median;
     auto const scaled =
-        static_cast<double>(middle->count()) * settings_.late_factor;
+        static_cast<double>(sorted[median].count()) * settings_.late_factor;
     return core::duration(static_cast<core::duration::rep>(scaled)) +
            late_slack;
 }
--- a/kumquatloom/health/outlier_detector.hpp
+++ b/kumquatloom/health/outlier_detector.hpp
@@ -44,9 +44,11 @@
     /// The part of `weigh` that wrong and truncated answers add.
     static double weigh_wrong(evidence_counts const& counts);
 
-    /// Latency above which a success is late, given the smoothed latencies of
-    /// the other upstreams; the largest duration if there are none.
-    core::duration late_threshold(std::vector<core::duration>& others) const;
+    /// Latency above which a success is late, given the sorted smoothed
+    /// latencies of a group and the upstream's own one, which is left out if
+    /// the group contains it. The largest duration if nothing is left.
+    core::duration late_threshold(std::vector<core::duration> const& sorted,
+                                  core::duration own) const;
 
 private:
     /// The evidence that is asked for.
--- a/kumquatloom/health/upstream_evidence.hpp
+++ b/kumquatloom/health/upstream_evidence.hpp
@@ -37,10 +37,11 @@
     std::uint16_t episode = 0;
     /// Until when evidence about it is exported.
     core::time_point interest_until;
-    /// Own attempts, all and failed and late, that fade within seconds.
+    /// Own attempts (all, failed, late and refused) that fade within seconds.
     double recent_total = 0;
     double recent_failed = 0;
     double recent_late = 0;
+    double recent_refused = 0;
     /// Trial requests asked for since it has been avoided.
     unsigned trials = 0;
 };
--- a/kumquatloom/routing/upstream_table.cpp
+++ b/kumquatloom/routing/upstream_table.cpp
@@ -97,7 +97,7 @@
     if (!previous)
         // All upstreams are new to an instance that starts, but not cold.
         return new upstream(endpoint, now, true);
-    auto const known = previous->find(endpoint.id);
+    auto known = previous->find(endpoint.id);
     // Another address is another process, which starts cold.
     if (known && known->endpoint() == endpoint)
         return known;
--- a/measure/attempt.hpp
+++ b/measure/attempt.hpp
@@ -27,6 +27,8 @@
     /// Attempts so far, and how often an upstream ran it.
     unsigned attempts = 0;
     unsigned executions = 0;
+    /// Whether an attempt ended in another way than by a refusal.
+    bool may_have_run = false;
     /// Upstreams that were tried.
     std::vector<boost::intrusive_ptr<routing::upstream>> tried;
 };
--- a/measure/fake_upstream.cpp
+++ b/measure/fake_upstream.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <chrono>
 #include <cmath>
 #include <measure/fake_upstream.hpp>
@@ -16,6 +17,8 @@
 /// Faults: how much slower, and which fraction fails.
 constexpr double slow_factor = 8;
 constexpr double cold_factor = 4;
+/// A replaced upstream is warm after this time; its first request comes when
+/// the instances have read the list.
 constexpr core::duration cold_time = 10s;
 constexpr double error_fraction = 0.5;
 constexpr double wrong_fraction = 0.3;
@@ -120,8 +123,7 @@
                 attempt.result = health::attempt_result::wrong_answer;
             break;
         case fault_kind::cold_start:
-            if (events_.now() - setup_.fault_at < cold_time)
-                factor *= cold_factor;
+            factor *= cold_slowdown();
             break;
         default:
             break;
@@ -131,6 +133,15 @@
         static_cast<core::duration::rep>(factor * static_cast<double>(mean)));
 }
 
+double fake_upstream::cold_slowdown() const
+{
+    std::chrono::duration<double> const age =
+        events_.now() - setup_.fault_at - scenario::list_lag;
+    double const warmth = age / std::chrono::duration<double>(cold_time);
+    // Before the list names it, its predecessor still works.
+    return warmth < 0 ? 1 : std::max(1.0, cold_factor * (1 - warmth));
+}
+
 bool fake_upstream::happens(double probability)
 {
     return std::uniform_real_distribution<double>()(random_) < probability;
--- a/measure/fake_upstream.hpp
+++ b/measure/fake_upstream.hpp
@@ -43,6 +43,8 @@
     bool is_faulty() const;
     /// A random service time, and what it does to the result.
     core::duration serve(attempt_state& attempt);
+    /// How much slower a replaced upstream is while it warms up.
+    double cold_slowdown() const;
     /// Whether an event of a probability happens.
     bool happens(double probability);
 
--- a/measure/measurements.cpp
+++ b/measure/measurements.cpp
@@ -26,6 +26,7 @@
                            bool largest_is_worst = true)
 {
     std::vector<double> values;
+    values.reserve(runs.size());
     for (auto const& run : runs)
         values.push_back(static_cast<double>(measure(run)));
     std::sort(values.begin(), values.end());
--- a/measure/scenario.hpp
+++ b/measure/scenario.hpp
@@ -41,6 +41,8 @@
     static constexpr double service_sigma = 0.6;
     /// A request that takes longer counts as late.
     static constexpr std::chrono::milliseconds late_after = 5 * service_time;
+    /// How far the platform's list lags behind reality.
+    static constexpr std::chrono::milliseconds list_lag{2000};
     /// Bytes of a request and its response.
     static constexpr unsigned exchange_bytes = 5000;
     /// Fraction of requests that may be repeated.
--- a/measure/simulation.hpp
+++ b/measure/simulation.hpp
@@ -61,18 +61,19 @@
                    {
                        tick(i);
                    });
-            // The list is polled every 500 ms and lags by 2 s.
+            // The list is polled every 500 ms.
             repeat(random_time(500ms),
                    500ms,
                    [this, i, known = false]() mutable
                    {
-                       if (known || events_.now() < setup_.fault_at + 2s)
+                       if (known ||
+                           events_.now() < setup_.fault_at + scenario::list_lag)
                            return;
                        known = true;
                        proxies_[i].relist(events_.now());
                    });
             if constexpr (Proxy::shares_evidence)
-                start_exchange(i);
+                start_probes(i);
         }
         repeat(100ms,
                100ms,
@@ -172,7 +173,7 @@
         {
             // A refusal is not-run only if no attempt may have run.
             end(*request,
-                request->attempts == 0 ? end_of::not_run : end_of::unknown);
+                request->may_have_run ? end_of::unknown : end_of::not_run);
             return;
         }
         ++request->attempts;
@@ -254,6 +255,8 @@
             ++result_.wrong_answers;
         }
         proxy.finished(*attempt, result, events_.now());
+        if (result != health::attempt_result::refused)
+            request.may_have_run = true;
         if (result == health::attempt_result::success)
             end(request, end_of::completed);
         else if (events_.now() < request.deadline &&
@@ -261,10 +264,7 @@
             try_once(attempt->request);
         else
             end(request,
-                result == health::attempt_result::refused &&
-                        request.attempts == 1
-                    ? end_of::not_run
-                    : end_of::unknown);
+                request.may_have_run ? end_of::unknown : end_of::not_run);
     }
 
     /// A request ends for its caller.
@@ -319,21 +319,18 @@
     {
         proxies_[instance].tick(events_.now());
         if constexpr (Proxy::shares_evidence)
+        {
+            send_evidence(instance);
             if (auto const record = proxies_[instance].propose(events_.now()))
                 append(*record);
+        }
     }
 
-    /// Starts the exchange of evidence and the probes of an instance.
-    void start_exchange(unsigned instance)
+    /// Starts the probes of an instance.
+    void start_probes(unsigned instance)
     {
         using namespace std::chrono_literals;
         constexpr core::duration probe_interval = 5s;
-        repeat(random_time(health::health_monitor::export_interval),
-               health::health_monitor::export_interval,
-               [this, instance]
-               {
-                   send_evidence(instance);
-               });
         // The faults of this program are gray: every probe succeeds.
         repeat(random_time(probe_interval),
                probe_interval,
@@ -349,10 +346,10 @@
 
     void send_evidence(unsigned instance)
     {
-        auto const message =
-            proxies_[instance].monitor().export_evidence(events_.now());
-        if (message.entries.empty())
+        auto& monitor = proxies_[instance].monitor();
+        if (!monitor.export_due(events_.now()))
             return;
+        auto const message = monitor.export_evidence(events_.now());
         std::ostringstream bytes;
         cereal::PortableBinaryOutputArchive archive(bytes);
         archive(message);
