Connect the entry instance with its fleet

Cause: serve read its document from a file and knew no peers. Change: fleet_link connects the control plane with services, limits, tickets and pages; serve joins the fleet of its settings; operators see and edit the document through an instance.

--- a/kumquatloom/cli/serve_command.cpp
+++ b/kumquatloom/cli/serve_command.cpp
@@ -2,7 +2,6 @@
 #include <kumquatloom/cli/command_line.hpp>
 #include <kumquatloom/cli/commands.hpp>
 #include <kumquatloom/core/logging.hpp>
-#include <kumquatloom/document/parse_document.hpp>
 #include <kumquatloom/entry/entry_instance.hpp>
 #include <kumquatloom/settings/instance_settings.hpp>
 
@@ -32,24 +31,12 @@
     return settings;
 }
 
-/// Reads and checks a document; null after printed faults.
-boost::intrusive_ptr<document::document> read_document(std::string const& path)
-{
-    auto const text = read_file(path);
-    if (!text)
-        return nullptr;
-    core::fault_list faults;
-    auto document = document::parse_document(*text, faults);
-    print_faults(path, faults);
-    return faults.empty() ? document : nullptr;
-}
-
-int serve(settings::instance_settings settings,
-          boost::intrusive_ptr<document::document> document)
+int serve(settings::instance_settings settings)
 {
     core::configure_logging(settings.log_level);
-    entry::entry_instance instance(std::move(settings));
-    instance.publish(std::move(document));
+    entry::entry_instance instance(std::move(settings),
+                                   entry::entry_instance::default_grace,
+                                   entry::fleet_mode::member);
     instance.leave_on_signals();
     instance.wait();
     core::log_info("stopped");
@@ -68,29 +55,23 @@
         "settings file of the instance",
         cxxopts::value<std::string>(),
         "FILE");
-    add("document",
-        "document with services, organisations and routes",
-        cxxopts::value<std::string>(),
-        "FILE");
     int status = exit_success;
-    auto const parsed = parse_arguments(
-        options,
-        "kumquatloom serve --settings settings.json --document document.json",
-        arguments,
-        status);
+    auto const parsed =
+        parse_arguments(options,
+                        "kumquatloom serve --settings settings.json",
+                        arguments,
+                        status);
     if (!parsed)
         return status;
-    if (parsed->count("settings") == 0 || parsed->count("document") == 0)
+    if (parsed->count("settings") == 0)
     {
-        std::cerr << "--settings or --document is missing\n\n"
-                  << options.help();
+        std::cerr << "--settings is missing\n\n" << options.help();
         return exit_usage;
     }
     auto settings = read_settings((*parsed)["settings"].as<std::string>());
-    auto document = read_document((*parsed)["document"].as<std::string>());
-    if (!settings || !document)
+    if (!settings)
         return exit_usage;
-    return serve(std::move(*settings), std::move(document));
+    return serve(std::move(*settings));
 }
 
 } // namespace kumquatloom::cli
--- a/kumquatloom/entry/drain_controller.cpp
+++ b/kumquatloom/entry/drain_controller.cpp
@@ -13,10 +13,12 @@
 drain_controller::drain_controller(asio::io_context& context,
                                    instance_state& state,
                                    std::chrono::milliseconds grace,
+                                   std::function<void()> leaving,
                                    std::function<void()> finish)
     : context_(context)
     , state_(state)
     , grace_(grace)
+    , leaving_(std::move(leaving))
     , finish_(std::move(finish))
     , timer_(context)
 {
@@ -27,6 +29,7 @@
     if (state_.leaving.exchange(true))
         return;
     core::log_info("leaving", {{"cause", std::string(cause)}});
+    leaving_();
     timer_.expires_after(state_.settings.callers.entries_ttl + grace_);
     asio::co_spawn(context_, run(), asio::detached);
 }
--- a/kumquatloom/entry/drain_controller.hpp
+++ b/kumquatloom/entry/drain_controller.hpp
@@ -19,14 +19,12 @@
 class drain_controller
 {
 public:
-    /// Longest time that a peer may still hand the instance out after it has
-    /// begun to leave, and a margin for differences of clock rates.
-    static constexpr std::chrono::milliseconds default_grace{5000};
-
-    /// Calls `finish` when only running requests may be completed.
+    /// Calls `leaving` when the instance begins to leave, and `finish` when
+    /// only running requests may be completed.
     drain_controller(asio::io_context& context,
                      instance_state& state,
                      std::chrono::milliseconds grace,
+                     std::function<void()> leaving,
                      std::function<void()> finish);
 
     /// Begins to leave; has no effect while leaving.
@@ -44,6 +42,8 @@
     instance_state& state_;
     /// Time in addition to that for which callers keep addresses.
     std::chrono::milliseconds const grace_;
+    /// Called once at the start.
+    std::function<void()> leaving_;
     /// Called once at the end of the wait.
     std::function<void()> finish_;
     /// Ends the wait.
--- a/kumquatloom/entry/entries_page.cpp
+++ b/kumquatloom/entry/entries_page.cpp
@@ -1,3 +1,6 @@
+#include <kumquatloom/directory/entry_answer.hpp>
+#include <kumquatloom/directory/entry_directory.hpp>
+#include <kumquatloom/directory/entry_directory_settings.hpp>
 #include <kumquatloom/entry/entries_page.hpp>
 #include <kumquatloom/entry/instance_state.hpp>
 
@@ -28,49 +31,61 @@
     return tickets;
 }
 
-boost::json::object entry_part(std::string const& id,
-                               settings::endpoint const& address,
-                               core::failure_domain const& domain,
-                               core::region const& region)
+/// What this instance knows about itself, for an instance that is in no fleet.
+membership::known_instance self_of(instance_state const& state,
+                                   core::time_point now)
 {
-    return {{"instance", id},
-            {"address", settings::to_string(address)},
-            {"failure_domain", domain.value()},
-            {"region", region.value()}};
+    auto const& self = state.settings.instance;
+    membership::known_instance known;
+    known.id = self.id;
+    known.callers_address = settings::to_string(state.callers_address());
+    known.failure_domain = self.failure_domain;
+    known.region = self.region;
+    known.last_heard = now;
+    known.ready = true;
+    known.fresh = true;
+    known.leaving = state.leaving.load(std::memory_order_relaxed);
+    return known;
 }
 
-/// The instance itself, unless it is leaving, and the live ones of the list.
-boost::json::array entries_part(instance_state const& state)
+/// The entry instances that the caller is told to use, best first.
+boost::json::array entries_part(instance_state const& state,
+                                core::organisation_name const& organisation,
+                                core::failure_domain const& asked_domain)
 {
-    boost::json::array entries;
+    auto const now = core::clock::now();
     auto const& self = state.settings.instance;
-    if (!state.leaving.load(std::memory_order_relaxed))
-        entries.push_back(entry_part(self.id.value(),
-                                     state.callers_address(),
-                                     self.failure_domain,
-                                     self.region));
-    auto const list = state.instances.read();
-    if (!list)
-        return entries;
-    for (auto const& entry : list->entries)
-        if (!entry.leaving && entry.id != self.id.value())
-            entries.push_back(entry_part(entry.id,
-                                         {entry.host, entry.port},
-                                         entry.failure_domain,
-                                         entry.region));
+    directory::entry_directory_settings settings;
+    settings.time_to_live = state.settings.callers.entries_ttl;
+    directory::entry_directory const chooser(
+        settings, self.failure_domain, self.region);
+    auto const fleet = state.fleet.read();
+    auto const answer = chooser.answer(
+        organisation,
+        asked_domain,
+        fleet ? fleet->instances
+              : std::vector<membership::known_instance>{self_of(state, now)},
+        now);
+    boost::json::array entries;
+    for (auto const& entry : answer.entries)
+        entries.push_back({{"instance", entry.instance.value()},
+                           {"address", entry.address},
+                           {"failure_domain", entry.failure_domain.value()},
+                           {"region", entry.region.value()}});
     return entries;
 }
 
 } // namespace
 
 std::string entries_page(instance_state& state,
-                         core::organisation_name const& organisation)
+                         core::organisation_name const& organisation,
+                         core::failure_domain const& asked_domain)
 {
     auto const document = state.document.read();
     boost::json::object page;
     page["version"] = document ? document->version : 0;
     page["ttl_ms"] = state.settings.callers.entries_ttl.count();
-    page["entries"] = entries_part(state);
+    page["entries"] = entries_part(state, organisation, asked_domain);
     page["tickets"] = issue_tickets(state, organisation, tickets_with_entries);
     return boost::json::serialize(page) + '\n';
 }
--- a/kumquatloom/entry/entries_page.hpp
+++ b/kumquatloom/entry/entries_page.hpp
@@ -11,9 +11,11 @@
 
 struct instance_state;
 
-/// The answer to a caller that asks which instances to use, as JSON.
+/// The answer to a caller that asks which instances to use, as JSON. An empty
+/// failure domain stands for that of this instance.
 std::string entries_page(instance_state& state,
-                         core::organisation_name const& organisation);
+                         core::organisation_name const& organisation,
+                         core::failure_domain const& asked_domain);
 
 /// The answer to a caller that asks for tickets, as JSON.
 std::string tickets_page(instance_state& state,
--- a/kumquatloom/entry/entry_instance.cpp
+++ b/kumquatloom/entry/entry_instance.cpp
@@ -2,6 +2,7 @@
 #include <kumquatloom/core/logging.hpp>
 #include <kumquatloom/entry/drain_controller.hpp>
 #include <kumquatloom/entry/entry_instance.hpp>
+#include <kumquatloom/entry/fleet_link.hpp>
 #include <kumquatloom/entry/instance_state.hpp>
 #include <kumquatloom/entry/list_poller.hpp>
 #include <kumquatloom/entry/operator_server.hpp>
@@ -48,15 +49,23 @@
 class entry_instance::parts
 {
 public:
-    parts(settings::instance_settings settings, std::chrono::milliseconds grace)
+    parts(settings::instance_settings settings,
+          std::chrono::milliseconds grace,
+          fleet_mode mode)
         : state(std::move(settings), new_incarnation())
-        , drain(context,
-                state,
-                grace,
-                [this]
-                {
-                    finish();
-                })
+        , drain(
+              context,
+              state,
+              grace,
+              [this]
+              {
+                  if (fleet)
+                      fleet->plane().begin_leaving();
+              },
+              [this]
+              {
+                  finish();
+              })
         , operators(
               context, state, drain, to_tcp(state.settings.listen.operators))
         , poller(context,
@@ -64,6 +73,8 @@
                  [this]
                  {
                      control.refresh(core::clock::now());
+                     if (fleet)
+                         fleet->list_read();
                  })
         , control(state)
         , tick_timer(context)
@@ -72,6 +83,8 @@
         add_workers();
         state.callers_port = workers.front()->address().port();
         state.operators_port = operators.address().port();
+        if (mode == fleet_mode::member)
+            join_fleet();
         start();
     }
 
@@ -106,6 +119,22 @@
         }
     }
 
+    /// Connects the instance with its fleet. It serves once it knows the
+    /// document that is in force.
+    void join_fleet()
+    {
+        state.ready = false;
+        fleet = std::make_unique<fleet_link>(context,
+                                             state,
+                                             control,
+                                             [this](auto const& document)
+                                             {
+                                                 publish(document);
+                                             });
+        operators.connect(*fleet);
+        fleet->start();
+    }
+
     /// Starts all threads.
     void start()
     {
@@ -148,6 +177,8 @@
             auto const now = core::clock::now();
             control.tick(now);
             state.rates.refresh(now);
+            if (fleet)
+                fleet->tick(now);
             tick_timer.expires_after(health::health_monitor::tick_interval);
             co_await tick_timer.async_wait(as_result);
         }
@@ -158,6 +189,8 @@
     {
         closing = true;
         tick_timer.cancel();
+        if (fleet)
+            fleet->plane().stop();
         operators.close();
         poller.stop();
         signals.cancel();
@@ -199,6 +232,8 @@
     list_poller poller;
     /// Keeps the services up to date.
     service_control control;
+    /// Connects with the fleet, if there is one.
+    std::unique_ptr<fleet_link> fleet;
     /// Paces tick().
     asio::steady_timer tick_timer;
     /// Whether the control thread ends.
@@ -212,15 +247,16 @@
 };
 
 entry_instance::entry_instance(settings::instance_settings settings,
-                               std::chrono::milliseconds grace)
-    : parts_(std::make_unique<parts>(std::move(settings), grace))
+                               std::chrono::milliseconds grace,
+                               fleet_mode mode)
+    : parts_(std::make_unique<parts>(std::move(settings), grace, mode))
 {
     auto const& state = parts_->state;
     core::log_info("listening",
                    {{"instance", state.settings.instance.id.value()},
                     {"callers", to_string(state.callers_address())},
                     {"operators", to_string(state.operators_address())},
-                    {"peers", to_string(state.settings.listen.peers)}});
+                    {"peers", to_string(state.peers_address())}});
 }
 
 entry_instance::~entry_instance() = default;
--- a/kumquatloom/entry/entry_instance.hpp
+++ b/kumquatloom/entry/entry_instance.hpp
@@ -13,20 +13,33 @@
 namespace kumquatloom::entry
 {
 
+/// Whether an instance belongs to a fleet.
+enum class fleet_mode
+{
+    /// It serves the document that it is given, without peers and log.
+    alone,
+    /// It takes part in the fleet of its settings.
+    member
+};
+
 /// One running entry instance: its servers, threads and connections.
 class entry_instance
 {
 public:
+    /// Longest time that a peer may still hand out an instance that has begun
+    /// to leave, with a margin for clock rates.
+    static constexpr std::chrono::milliseconds default_grace{5000};
+
     /// Listens on all ports and starts the threads. `grace` is the time that
     /// a leaving instance serves on after the addresses that callers keep have
     /// expired. Throws if an address cannot be used.
-    explicit entry_instance(
-        settings::instance_settings settings,
-        std::chrono::milliseconds grace = std::chrono::milliseconds(5000));
+    explicit entry_instance(settings::instance_settings settings,
+                            std::chrono::milliseconds grace = default_grace,
+                            fleet_mode mode = fleet_mode::alone);
     /// Ends all requests at once, unless wait() has returned before.
     ~entry_instance();
 
-    /// Puts a document in force.
+    /// Puts a document in force; for instances that are in no fleet.
     void publish(boost::intrusive_ptr<document::document const> document);
 
     /// Begins to leave at SIGTERM and SIGINT, and ends the wait for callers
--- a/kumquatloom/entry/instance_state.hpp
+++ b/kumquatloom/entry/instance_state.hpp
@@ -7,6 +7,7 @@
 #include <kumquatloom/core/rcu_cell.hpp>
 #include <kumquatloom/document/document.hpp>
 #include <kumquatloom/entry/entry_event.hpp>
+#include <kumquatloom/entry/fleet_view.hpp>
 #include <kumquatloom/entry/instance_list.hpp>
 #include <kumquatloom/entry/latency_histogram.hpp>
 #include <kumquatloom/entry/memory_account.hpp>
@@ -47,6 +48,12 @@
         return {settings.listen.callers.host, callers_port};
     }
 
+    /// The peers' address in use.
+    settings::endpoint peers_address() const
+    {
+        return {settings.listen.peers.host, peers_port};
+    }
+
     /// The operators' address in use.
     settings::endpoint operators_address() const
     {
@@ -65,6 +72,8 @@
     core::rcu_cell<instance_list> instances;
     /// The services of the document.
     core::rcu_cell<service_table> services;
+    /// The fleet's instances; null outside of a fleet.
+    core::rcu_cell<fleet_view> fleet;
     /// Decides which requests are served, and counts refusals.
     admission::admission_gate gate;
     /// Shares of the rate limits.
@@ -109,6 +118,11 @@
     std::atomic<std::uint16_t> callers_port{0};
     /// The operators' port in use.
     std::atomic<std::uint16_t> operators_port{0};
+    /// The peers' port in use; 0 outside of a fleet.
+    std::atomic<std::uint16_t> peers_port{0};
+    /// Whether the instance knows enough to serve. Outside of a fleet the
+    /// document that it was given is enough.
+    std::atomic<bool> ready{true};
 };
 
 } // namespace kumquatloom::entry
--- a/kumquatloom/entry/metrics_page.cpp
+++ b/kumquatloom/entry/metrics_page.cpp
@@ -1,3 +1,5 @@
+#include <kumquatloom/control/control_plane.hpp>
+#include <kumquatloom/control/control_status.hpp>
 #include <kumquatloom/entry/instance_state.hpp>
 #include <kumquatloom/entry/metrics_page.hpp>
 
@@ -53,6 +55,52 @@
                    service->picker.errors());
 }
 
+void metrics_page::add(control::control_plane const& plane)
+{
+    auto const status = plane.status();
+    add_gauge("kumquatloom_ready", status.ready ? 1 : 0);
+    add_gauge("kumquatloom_fresh", status.fresh ? 1 : 0);
+    add_gauge("kumquatloom_log_reader", status.reader ? 1 : 0);
+    add_gauge("kumquatloom_region_relay", status.relay ? 1 : 0);
+    add_gauge("kumquatloom_log_disagrees", status.log_disagrees ? 1 : 0);
+    add_gauge("kumquatloom_live_members", status.live_members);
+    add_gauge("kumquatloom_state_offset", status.state_offset);
+    add_gauge("kumquatloom_known_document_version", status.known_version);
+    add_gauge("kumquatloom_ejections", status.ejections);
+    add_gauge("kumquatloom_appends_waiting", status.waiting_appends);
+    add_gauge("kumquatloom_appends_done", status.appended);
+    add_gauge("kumquatloom_appends_failed", status.failed_appends);
+    add_gauge("kumquatloom_dropped_frames", status.dropped_frames);
+    add_gauge("kumquatloom_state_bytes", status.state_bytes);
+    add_traffic(plane.traffic());
+}
+
+void metrics_page::add_traffic(peer::traffic_counters const& traffic)
+{
+    using peer::direction;
+    using peer::message_kind;
+    using peer::peer_scope;
+    type("kumquatloom_peer_bytes_total", "counter");
+    for (auto const way : {direction::sent, direction::received})
+        for (auto const scope :
+             {peer_scope::same_region, peer_scope::other_region})
+            for (std::size_t index = 0;
+                 index < static_cast<std::size_t>(message_kind::count);
+                 ++index)
+            {
+                auto const kind = static_cast<message_kind>(index);
+                text_.append("kumquatloom_peer_bytes_total{kind=\"")
+                    .append(to_string(kind))
+                    .append("\",direction=\"")
+                    .append(to_string(way))
+                    .append("\",scope=\"")
+                    .append(to_string(scope))
+                    .append("\"} ")
+                    .append(std::to_string(traffic.bytes(kind, way, scope)))
+                    .append("\n");
+            }
+}
+
 void metrics_page::type(std::string_view name, std::string_view type)
 {
     text_.append("# TYPE ").append(name).append(" ").append(type).append("\n");
--- a/kumquatloom/entry/metrics_page.hpp
+++ b/kumquatloom/entry/metrics_page.hpp
@@ -7,6 +7,16 @@
 #include <string>
 #include <string_view>
 
+namespace kumquatloom::control
+{
+class control_plane;
+} // namespace kumquatloom::control
+
+namespace kumquatloom::peer
+{
+class traffic_counters;
+} // namespace kumquatloom::peer
+
 namespace kumquatloom::entry
 {
 
@@ -32,6 +42,9 @@
     /// Adds everything that the instance counts.
     void add(instance_state const& state);
 
+    /// Adds the figures of the control plane.
+    void add(control::control_plane const& plane);
+
     /// The page.
     std::string const& text() const
     {
@@ -55,6 +68,7 @@
     }
 
     void add_services(instance_state const& state);
+    void add_traffic(peer::traffic_counters const& traffic);
     void type(std::string_view name, std::string_view type);
 
     /// What was added so far.
--- a/kumquatloom/entry/operator_server.cpp
+++ b/kumquatloom/entry/operator_server.cpp
@@ -1,4 +1,7 @@
+#include <kumquatloom/control/control_status.hpp>
+#include <kumquatloom/document/log_record.hpp>
 #include <kumquatloom/entry/drain_controller.hpp>
+#include <kumquatloom/entry/fleet_link.hpp>
 #include <kumquatloom/entry/instance_state.hpp>
 #include <kumquatloom/entry/metrics_page.hpp>
 #include <kumquatloom/entry/operator_server.hpp>
@@ -20,8 +23,9 @@
 namespace
 {
 
-/// Time for one request of an operator.
-constexpr std::chrono::seconds operator_timeout{5};
+/// Time for one request of an operator, which may be an edit that waits for
+/// its place in the log.
+constexpr std::chrono::seconds operator_timeout{15};
 /// Largest body that an operator may send: a document.
 constexpr std::size_t operator_body_limit = 16 * 1024 * 1024;
 
@@ -72,7 +76,7 @@
         co_await http::async_read(stream, buffer, parser, as_result);
     if (read_error)
         co_return;
-    auto response = answer(parser.get());
+    auto response = co_await answer(parser.get());
     // Connections that stay open would delay the end of the process.
     response.keep_alive(false);
     co_await http::async_write(stream, response, as_result);
@@ -80,18 +84,36 @@
     stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
 }
 
-http_response operator_server::answer(http_request const& request)
+asio::awaitable<http_response>
+operator_server::answer(http_request const& request)
 {
     auto const target = request.target();
     std::string_view const path(target.data(), target.size());
     if (request.method() == http::verb::post && path == "/drain")
     {
         drain_.begin("operator");
-        return json_answer(http::status::accepted, "{\"state\":\"leaving\"}\n");
+        co_return json_answer(http::status::accepted,
+                              "{\"state\":\"leaving\"}\n");
     }
+    if (request.method() == http::verb::post && path == "/document/edits" &&
+        fleet_ != nullptr)
+        co_return co_await append_edit(request.body());
     if (request.method() == http::verb::get)
-        return page(path);
-    return json_answer(http::status::not_found, "{}\n");
+        co_return page(path);
+    co_return json_answer(http::status::not_found, "{}\n");
+}
+
+asio::awaitable<http_response>
+operator_server::append_edit(std::string const& text)
+{
+    core::fault_list faults;
+    auto const record = document::parse_record(text, faults);
+    auto const* const edit =
+        record ? std::get_if<document::edit_record>(&*record) : nullptr;
+    if (edit == nullptr)
+        co_return json_answer(http::status::bad_request, "{}\n");
+    auto const report = co_await fleet_->plane().append_edit(*edit);
+    co_return json_answer(http::status::ok, document::to_text(report) + '\n');
 }
 
 http_response operator_server::page(std::string_view path) const
@@ -100,19 +122,40 @@
     {
         metrics_page metrics;
         metrics.add(state_);
+        if (fleet_ != nullptr)
+            metrics.add(fleet_->plane());
         return text_answer(http::status::ok, metrics.text());
     }
     if (path == "/status")
-        return json_answer(http::status::ok, status_page(state_));
+        return json_answer(
+            http::status::ok,
+            status_page(state_, fleet_ ? &fleet_->plane() : nullptr));
     if (path == "/healthz")
         return text_answer(http::status::ok, "ok\n");
+    if (path == "/document" && fleet_ != nullptr)
+        return document_page();
     if (path != "/readyz")
         return json_answer(http::status::not_found, "{}\n");
-    bool const ready =
-        !state_.leaving && state_.document.read() && state_.instances.read();
-    return ready
+    return ready()
                ? text_answer(http::status::ok, "ready\n")
                : text_answer(http::status::service_unavailable, "not ready\n");
 }
 
+http_response operator_server::document_page() const
+{
+    auto const text = fleet_->plane().document_text({});
+    if (text.empty())
+        return json_answer(http::status::not_found, "{}\n");
+    auto const version = fleet_->plane().status().known_version;
+    return json_answer(http::status::ok,
+                       "{\"version\":" + std::to_string(version) +
+                           ",\"document\":" + text + "}\n");
+}
+
+bool operator_server::ready() const
+{
+    return !state_.leaving && state_.ready && state_.document.read() &&
+           state_.instances.read();
+}
+
 } // namespace kumquatloom::entry
--- a/kumquatloom/entry/operator_server.hpp
+++ b/kumquatloom/entry/operator_server.hpp
@@ -10,6 +10,7 @@
 
 struct instance_state;
 class drain_controller;
+class fleet_link;
 
 /// The operators' port: metrics, status, probes and drain.
 class operator_server
@@ -21,6 +22,13 @@
                     drain_controller& drain,
                     tcp::endpoint const& address);
 
+    /// Lets operators see and change the fleet's document. The link must
+    /// outlive the server.
+    void connect(fleet_link& fleet)
+    {
+        fleet_ = &fleet;
+    }
+
     /// Serves until close().
     asio::awaitable<void> run();
 
@@ -35,8 +43,11 @@
 
 private:
     asio::awaitable<void> serve(tcp::socket socket);
-    http_response answer(http_request const& request);
+    asio::awaitable<http_response> answer(http_request const& request);
+    asio::awaitable<http_response> append_edit(std::string const& text);
     http_response page(std::string_view path) const;
+    http_response document_page() const;
+    bool ready() const;
 
     /// Runs the connections.
     asio::io_context& context_;
@@ -44,6 +55,8 @@
     instance_state& state_;
     /// Lets the instance leave.
     drain_controller& drain_;
+    /// The link to the fleet, if there is one.
+    fleet_link* fleet_ = nullptr;
     /// The listening socket.
     tcp::acceptor acceptor_;
 };
--- a/kumquatloom/entry/proxy_handler.cpp
+++ b/kumquatloom/entry/proxy_handler.cpp
@@ -20,6 +20,21 @@
 constexpr std::string_view entries_path = "/.kumquatloom/entries";
 constexpr std::string_view tickets_path = "/.kumquatloom/tickets";
 
+/// The failure domain in the query of a request for entries, if there is one.
+/// Names with escaped characters are not found, as any unknown domain.
+core::failure_domain asked_domain(std::string_view target)
+{
+    constexpr std::string_view key = "failure_domain=";
+    auto const query = target.find('?');
+    if (query == std::string_view::npos)
+        return {};
+    auto const start = target.find(key, query);
+    if (start == std::string_view::npos)
+        return {};
+    auto const value = target.substr(start + key.size());
+    return core::failure_domain(std::string(value.substr(0, value.find('&'))));
+}
+
 /// A place of the load shedder, given back on destruction.
 class shedder_place
 {
@@ -116,7 +131,9 @@
     auto const method = caller.request.method();
     if (path == entries_path && method == http::verb::get)
         return json_answer(http::status::ok,
-                           entries_page(state_, organisation));
+                           entries_page(state_,
+                                        organisation,
+                                        asked_domain(caller.facts().target)));
     if (path == tickets_path && method == http::verb::post)
         return json_answer(http::status::ok,
                            tickets_page(state_, organisation));
--- a/kumquatloom/entry/rate_limiter.cpp
+++ b/kumquatloom/entry/rate_limiter.cpp
@@ -1,8 +1,6 @@
-#include <kumquatloom/core/hashing.hpp>
 #include <kumquatloom/entry/rate_limiter.hpp>
 
 #include <algorithm>
-#include <memory>
 #include <string_view>
 #include <utility>
 
@@ -41,20 +39,10 @@
 } // namespace
 
 rate_limiter::rate_limiter(limits::share_member self)
-    : self_(std::move(self))
+    : shares_({}, std::move(self))
 {
 }
 
-rate_limiter::~rate_limiter()
-{
-    for (auto& place : buckets_)
-        for (node* item = place; item != nullptr;)
-        {
-            std::unique_ptr<node> const dropped(item);
-            item = item->next;
-        }
-}
-
 bool rate_limiter::try_take(admission::admitted_request const& admitted,
                             document::document const& document,
                             core::time_point now)
@@ -63,71 +51,42 @@
         return true;
     limits::share_key const key{std::string(admitted.route.prefix),
                                 admitted.organisation};
-    auto& place = bucket_of(key);
-    auto* item = find(place.load(std::memory_order_acquire), key);
-    if (item == nullptr)
-        item = &insert(place, key, base_of(document, key), now);
-    return item->share.try_take(now);
+    return shares_.try_take(key, base_of(document, key), now);
 }
 
 void rate_limiter::rebase(document::document const& document,
                           core::time_point now)
 {
-    for (auto const& place : buckets_)
-        for (auto* item = place.load(); item != nullptr; item = item->next)
-            item->share.rebase(base_of(document, item->key), now);
-}
-
-void rate_limiter::refresh(core::time_point now)
-{
-    each(
-        [now](limits::rate_share& share)
+    shares_.rebase(
+        [&](limits::share_key const& key)
         {
-            share.refresh(now);
-        });
+            return base_of(document, key);
+        },
+        now);
 }
 
-void rate_limiter::each(std::function<void(limits::rate_share&)> const& visit)
+void rate_limiter::refresh(core::time_point now)
 {
-    for (auto const& place : buckets_)
-        for (auto* item = place.load(); item != nullptr; item = item->next)
-            visit(item->share);
+    shares_.refresh(now);
 }
 
-rate_limiter::bucket& rate_limiter::bucket_of(limits::share_key const& key)
+std::vector<limits::share_request> rate_limiter::ask(core::time_point now)
 {
-    auto const hash = core::stable_hash(key.organisation.value(),
-                                        core::stable_hash(key.prefix));
-    return buckets_[hash % bucket_count];
+    return shares_.ask(now);
 }
 
-rate_limiter::node* rate_limiter::find(node* first,
-                                       limits::share_key const& key)
+std::optional<limits::share_grant>
+rate_limiter::answer(limits::share_request const& request,
+                     document::document const& document,
+                     core::time_point now)
 {
-    for (auto* item = first; item != nullptr; item = item->next)
-        if (item->key == key)
-            return item;
-    return nullptr;
+    return shares_.answer(request, base_of(document, request.key), now);
 }
 
-rate_limiter::node& rate_limiter::insert(bucket& place,
-                                         limits::share_key const& key,
-                                         limits::micro_rate base,
-                                         core::time_point now)
+void rate_limiter::accept(limits::share_grant const& grant,
+                          core::time_point now)
 {
-    auto made = std::make_unique<node>(key, self_, base, now);
-    made->next = place.load(std::memory_order_acquire);
-    while (true)
-    {
-        // Another thread may have made the same share in the meantime.
-        if (auto* const other = find(made->next, key))
-            return *other;
-        if (place.compare_exchange_weak(made->next,
-                                        made.get(),
-                                        std::memory_order_acq_rel,
-                                        std::memory_order_acquire))
-            return *made.release();
-    }
+    shares_.accept(grant, now);
 }
 
 } // namespace kumquatloom::entry
--- a/kumquatloom/entry/status_page.cpp
+++ b/kumquatloom/entry/status_page.cpp
@@ -1,3 +1,5 @@
+#include <kumquatloom/control/control_plane.hpp>
+#include <kumquatloom/control/control_status.hpp>
 #include <kumquatloom/entry/instance_state.hpp>
 #include <kumquatloom/entry/status_page.hpp>
 
@@ -47,9 +49,30 @@
     return part;
 }
 
+/// How the instance stands in its fleet.
+boost::json::object fleet_part(control::control_status const& status)
+{
+    boost::json::object part{{"state_offset", status.state_offset},
+                             {"known_document_version", status.known_version},
+                             {"ready", status.ready},
+                             {"fresh", status.fresh},
+                             {"log_reader", status.reader},
+                             {"region_relay", status.relay},
+                             {"live_members", status.live_members},
+                             {"log_disagrees", status.log_disagrees},
+                             {"ejections", status.ejections},
+                             {"appends_waiting", status.waiting_appends},
+                             {"dropped_frames", status.dropped_frames},
+                             {"state_bytes", status.state_bytes}};
+    if (status.freshness_age)
+        part["freshness_age_ms"] = status.freshness_age->count();
+    return part;
+}
+
 } // namespace
 
-std::string status_page(instance_state const& state)
+std::string status_page(instance_state const& state,
+                        control::control_plane const* plane)
 {
     auto const& identity = state.settings.instance;
     auto const document = state.document.read();
@@ -58,7 +81,9 @@
     page["instance"] = identity.id.value();
     page["failure_domain"] = identity.failure_domain.value();
     page["region"] = identity.region.value();
-    page["state"] = state.leaving ? "leaving" : "serving";
+    page["state"] = state.leaving ? "leaving"
+                    : state.ready ? "serving"
+                                  : "starting";
     page["uptime_ms"] =
         std::chrono::duration_cast<std::chrono::milliseconds>(uptime).count();
     page["callers"] = settings::to_string(state.callers_address());
@@ -76,6 +101,8 @@
     page["refusals"] = state.gate.refusals().total();
     page["instance_list"] = list_part(state);
     page["services"] = services_part(state, core::clock::now());
+    if (plane != nullptr)
+        page["fleet"] = fleet_part(plane->status());
     return boost::json::serialize(page) + '\n';
 }
 
