--- a/kumquatloom/admission/authenticator.cpp
+++ b/kumquatloom/admission/authenticator.cpp
@@ -57,14 +57,11 @@
             credentials_.push_back({digest, index});
     }
     names_.shrink();
-    std::sort(credentials_.begin(),
-              credentials_.end(),
-              [](credential const& left, credential const& right)
-              {
-                  return left.digest < right.digest;
-              });
-    drop_ambiguous();
     build_index();
+    sort_buckets();
+    drop_ambiguous();
+    if (ambiguous_ > 0)
+        build_index();
 }
 
 core::result<organisation_index, refusal_reason>
@@ -89,24 +86,6 @@
     return core::success(organisation_index{found->organisation});
 }
 
-std::optional<organisation_index>
-authenticator::find(core::organisation_name const& name) const
-{
-    std::uint32_t low = 0;
-    auto high = static_cast<std::uint32_t>(names_.size());
-    while (low < high)
-    {
-        auto const middle = low + (high - low) / 2;
-        if (names_.at(middle) < name.value())
-            low = middle + 1;
-        else
-            high = middle;
-    }
-    if (low == names_.size() || names_.at(low) != name.value())
-        return std::nullopt;
-    return organisation_index{low};
-}
-
 std::size_t authenticator::memory() const
 {
     return names_.memory() + credentials_.capacity() * sizeof(credential) +
@@ -143,6 +122,7 @@
 
 void authenticator::build_index()
 {
+    bucket_bits_ = 0;
     while (bucket_bits_ < max_bucket_bits &&
            (credentials_per_bucket << bucket_bits_) < credentials_.size())
         ++bucket_bits_;
@@ -153,6 +133,22 @@
         buckets_[i] += buckets_[i - 1];
 }
 
+void authenticator::sort_buckets()
+{
+    std::vector<credential> sorted(credentials_.size());
+    auto next = buckets_;
+    for (auto const& item : credentials_)
+        sorted[next[bucket(item.digest)]++] = item;
+    credentials_.swap(sorted);
+    for (std::size_t i = 0; i + 1 < buckets_.size(); ++i)
+        std::sort(credentials_.begin() + buckets_[i],
+                  credentials_.begin() + buckets_[i + 1],
+                  [](credential const& left, credential const& right)
+                  {
+                      return left.digest < right.digest;
+                  });
+}
+
 std::size_t authenticator::bucket(core::sha256_digest const& digest) const
 {
     std::uint64_t bits = 0;
--- a/kumquatloom/admission/authenticator.hpp
+++ b/kumquatloom/admission/authenticator.hpp
@@ -40,9 +40,11 @@
     core::result<organisation_index, refusal_reason>
     authenticate(std::optional<std::string_view> authorization) const;
 
-    /// The index of an organisation, if it is in the document.
-    std::optional<organisation_index>
-    find(core::organisation_name const& name) const;
+    /// Number of organisations.
+    std::size_t size() const
+    {
+        return names_.size();
+    }
 
     /// The name of an organisation.
     std::string_view name(organisation_index organisation) const
@@ -74,6 +76,8 @@
     void drop_ambiguous();
     /// Fills the index by the first bits.
     void build_index();
+    /// Sorts by digest: first into the buckets, which takes one pass.
+    void sort_buckets();
     /// The first bits of a digest, by which the index is addressed.
     std::size_t bucket(core::sha256_digest const& digest) const;
 
--- a/kumquatloom/admission/route_table.cpp
+++ b/kumquatloom/admission/route_table.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <bit>
 #include <map>
+#include <optional>
 
 namespace kumquatloom::admission
 {
@@ -38,10 +39,54 @@
 
 } // namespace
 
+/// Finds organisations by name while a table is built. The largest document
+/// names more than a million organisations in its routes, for which a hash
+/// table takes a fraction of the time of a binary search.
+class route_table::organisation_finder
+{
+public:
+    /// Indexes all organisations.
+    explicit organisation_finder(authenticator const& organisations)
+        : organisations_(organisations)
+        , slots_(std::bit_ceil(2 * organisations.size() + 1), nobody)
+    {
+        for (std::uint32_t i = 0; i < organisations.size(); ++i)
+            slots_[slot_of(organisations.name(organisation_index{i}))] = i;
+    }
+
+    /// The index of an organisation, if it is in the document.
+    std::optional<std::uint32_t> find(std::string_view name) const
+    {
+        auto const found = slots_[slot_of(name)];
+        return found == nobody ? std::nullopt : std::optional(found);
+    }
+
+private:
+    /// Marks an empty slot.
+    static constexpr std::uint32_t nobody = UINT32_MAX;
+
+    /// The slot of a name, which is empty if there is no such organisation.
+    std::size_t slot_of(std::string_view name) const
+    {
+        auto const mask = slots_.size() - 1;
+        auto slot = core::stable_hash(name) & mask;
+        while (slots_[slot] != nobody &&
+               organisations_.name(organisation_index{slots_[slot]}) != name)
+            slot = (slot + 1) & mask;
+        return slot;
+    }
+
+    /// The organisations.
+    authenticator const& organisations_;
+    /// Hash table with open addressing.
+    std::vector<std::uint32_t> slots_;
+};
+
 route_table::route_table(document::document const& source,
                          authenticator const& organisations,
                          core::region const& region)
 {
+    organisation_finder const finder(organisations);
     std::map<core::service_name, std::uint32_t> service_indexes;
     routes_.reserve(source.routes.size());
     for (auto const& settings : source.routes)
@@ -57,7 +102,7 @@
         add(settings,
             place->second,
             static_cast<std::uint32_t>(timeout.count()),
-            organisations,
+            finder,
             region);
     }
     prefixes_.shrink();
@@ -91,7 +136,7 @@
 void route_table::add(document::route_settings const& settings,
                       std::uint32_t service,
                       std::uint32_t timeout_ms,
-                      authenticator const& organisations,
+                      organisation_finder const& organisations,
                       core::region const& region)
 {
     route item;
@@ -107,8 +152,8 @@
             settings.regions.end();
     item.first_organisation = static_cast<std::uint32_t>(organisations_.size());
     for (auto const& name : settings.organisations)
-        if (auto const index = organisations.find(name))
-            organisations_.push_back(static_cast<std::uint32_t>(*index));
+        if (auto const index = organisations.find(name.value()))
+            organisations_.push_back(*index);
     std::sort(organisations_.begin() + item.first_organisation,
               organisations_.end());
     item.last_organisation = static_cast<std::uint32_t>(organisations_.size());
--- a/kumquatloom/admission/route_table.hpp
+++ b/kumquatloom/admission/route_table.hpp
@@ -62,6 +62,8 @@
     std::size_t memory() const;
 
 private:
+    class organisation_finder;
+
     /// One route.
     struct route
     {
@@ -88,7 +90,7 @@
     void add(document::route_settings const& settings,
              std::uint32_t service,
              std::uint32_t timeout_ms,
-             authenticator const& organisations,
+             organisation_finder const& organisations,
              core::region const& region);
     /// Links the routes into the hash table.
     void build_index();
