Count verified answers and check the texts of all enumerations

The verdict about an answer and the states of tickets are metric labels as well, and a value without a text would give an empty label.

--- a/kumquatloom/request/retry_counters.hpp
+++ b/kumquatloom/request/retry_counters.hpp
@@ -2,6 +2,7 @@
 #define KUMQUATLOOM_REQUEST_RETRY_COUNTERS_HPP
 
 #include <kumquatloom/core/counter_family.hpp>
+#include <kumquatloom/request/answer_verdict.hpp>
 #include <kumquatloom/request/outcome.hpp>
 #include <kumquatloom/request/retry_denied_reason.hpp>
 #include <kumquatloom/request/retry_reason.hpp>
@@ -21,6 +22,8 @@
     core::counter_family<outcome> outcomes;
     /// Ended attempts, by how far they got.
     core::counter_family<sent_state> attempts;
+    /// Answers of upstreams, by what their verification found.
+    core::counter_family<answer_verdict> answers;
 };
 
 } // namespace kumquatloom::request
--- a/unit_tests/request/retry_decider_test.cpp
+++ b/unit_tests/request/retry_decider_test.cpp
@@ -1,6 +1,10 @@
+#include <kumquatloom/limits/priority.hpp>
 #include <kumquatloom/limits/retry_budget.hpp>
 #include <kumquatloom/request/hedge_decider.hpp>
 #include <kumquatloom/request/retry_decider.hpp>
+#include <kumquatloom/request/ticket_decision.hpp>
+#include <kumquatloom/request/ticket_keys.hpp>
+#include <kumquatloom/request/ticket_state.hpp>
 
 #include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
@@ -45,8 +49,13 @@
 } // namespace
 
 // Guards against metric labels that are empty or shared.
-TEST_CASE("every value about attempts has a text", "[request]")
+TEST_CASE("every value about requests has a text", "[request]")
 {
+    check_texts<answer_verdict>();
+    check_texts<ticket_state>();
+    check_texts<ticket_action>();
+    check_texts<ticket_proof>();
+    check_texts<limits::priority>();
     check_texts<outcome>();
     check_texts<sent_state>();
     check_texts<retry_reason>();
