--- a/kumquatloom/cli/document_options.cpp
+++ b/kumquatloom/cli/document_options.cpp
@@ -13,7 +13,7 @@
     auto const text = required_text(parsed, option);
     if (!text)
         return std::nullopt;
-    auto const address = settings::parse_endpoint(*text);
+    auto address = settings::parse_endpoint(*text);
     if (!address)
         std::cerr << "--" << option << ": '" << *text
                   << "' is not an IP number and a port, ip:port\n";
--- a/kumquatloom/document/document_reducer.cpp
+++ b/kumquatloom/document/document_reducer.cpp
@@ -126,10 +126,16 @@
     auto const digest = digest_at(record.offset);
     bool const differs = (chain && *chain != record.chain) ||
                          (digest && *digest != record.digest);
-    if (!differs)
-        return record_effect::snapshot_seen;
-    divergence_ = offset;
-    return record_effect::snapshot_differs;
+    if (differs)
+    {
+        divergence_ = offset;
+        return record_effect::snapshot_differs;
+    }
+    // Parts are appended in order, so the last one completes the snapshot.
+    if (record.part + 1 == record.parts)
+        newest_snapshot_ =
+            std::max(newest_snapshot_, std::optional(record.offset));
+    return record_effect::snapshot_seen;
 }
 
 record_effect document_reducer::apply(eject_record const& record,
@@ -401,6 +407,7 @@
     chains_.assign(1, state_.chain);
     checkpoints_.assign(1, {header.offset, header.digest});
     last_change_ = header.offset;
+    newest_snapshot_ = header.offset;
     return true;
 }
 
--- a/kumquatloom/document/document_reducer.hpp
+++ b/kumquatloom/document/document_reducer.hpp
@@ -52,6 +52,14 @@
 
 /// Reduces the log's records, in their order, to the state of the fleet.
 /// Every instance that reduces the same records holds the same state.
+///
+/// The first document comes from an edit of the section `*`, which is signed
+/// with the key of the owner `platform` that the document itself names. An
+/// edit of another section is accepted if it was made from a version that is
+/// not older than the section's last change, is signed by the section's owner
+/// or by `platform`, and leaves the whole document valid. Edits of different
+/// sections therefore do not conflict. Only `platform` adds and removes
+/// sections, changes their owners, and edits `owners` and `fleet`.
 class document_reducer
 {
 public:
@@ -92,6 +100,13 @@
         return divergence_;
     }
 
+    /// The state offset of the newest snapshot that the log holds completely
+    /// and that did not differ from this state.
+    std::optional<core::log_offset> newest_snapshot() const
+    {
+        return newest_snapshot_;
+    }
+
     /// Bytes that the state and the index occupy.
     std::size_t memory_bytes() const;
 
@@ -156,6 +171,8 @@
     std::deque<checkpoint> checkpoints_;
     /// Offset of the last record that was not a snapshot.
     std::optional<core::log_offset> last_change_;
+    /// State offset of the newest complete snapshot.
+    std::optional<core::log_offset> newest_snapshot_;
     /// Offset of a snapshot record that differed.
     std::optional<core::log_offset> divergence_;
 };
--- a/kumquatloom/document/log_record.cpp
+++ b/kumquatloom/document/log_record.cpp
@@ -17,7 +17,6 @@
 namespace
 {
 
-constexpr std::size_t max_id_size = 64;
 constexpr std::size_t max_name_size = 64;
 constexpr std::size_t signature_bytes = 64;
 /// Numbers are JSON integers, which some readers hold in 63 bits.
--- a/kumquatloom/document/name_index.cpp
+++ b/kumquatloom/document/name_index.cpp
@@ -2,6 +2,8 @@
 #include <kumquatloom/document/name_index.hpp>
 
 #include <algorithm>
+#include <iterator>
+#include <utility>
 
 namespace kumquatloom::document
 {
@@ -32,16 +34,25 @@
 
 void name_index::replace(name_table const& names, std::uint16_t section)
 {
+    std::vector<std::uint64_t> added;
+    added.reserve(names.size());
+    for (std::size_t i = 0; i < names.size(); ++i)
+        added.push_back(entry_of(names[i], section));
+    std::sort(added.begin(), added.end());
     std::erase_if(entries_,
                   [&](std::uint64_t entry)
                   {
                       return (entry & section_mask) == section;
                   });
-    auto const kept = static_cast<std::ptrdiff_t>(entries_.size());
-    append(names, section);
-    std::sort(entries_.begin() + kept, entries_.end());
-    std::inplace_merge(
-        entries_.begin(), entries_.begin() + kept, entries_.end());
+    // A new vector has no spare capacity, which would stay for good.
+    std::vector<std::uint64_t> merged;
+    merged.reserve(entries_.size() + added.size());
+    std::merge(entries_.begin(),
+               entries_.end(),
+               added.begin(),
+               added.end(),
+               std::back_inserter(merged));
+    entries_ = std::move(merged);
 }
 
 } // namespace kumquatloom::document
--- a/kumquatloom/document/state_snapshot.cpp
+++ b/kumquatloom/document/state_snapshot.cpp
@@ -272,19 +272,25 @@
     return result;
 }
 
+snapshot_record header_of(state_snapshot const& snapshot)
+{
+    BOOST_ASSERT(snapshot.state.next > 0);
+    snapshot_record header;
+    header.offset = snapshot.state.next - 1;
+    header.chain = snapshot.state.chain;
+    header.digest = digest_of(snapshot.state, snapshot.ejections);
+    return header;
+}
+
 std::vector<snapshot_record> split_snapshot(state_snapshot const& snapshot,
                                             std::string const& id,
                                             std::size_t part_bytes)
 {
-    BOOST_ASSERT(snapshot.state.next > 0);
     // A character has at most 4 bytes, and each part holds one at least.
     BOOST_ASSERT(part_bytes >= 4 && part_bytes <= max_snapshot_part_bytes);
     std::string const text = to_text(snapshot);
-    snapshot_record common;
+    auto common = header_of(snapshot);
     common.id = id;
-    common.offset = snapshot.state.next - 1;
-    common.chain = snapshot.state.chain;
-    common.digest = digest_of(snapshot.state, snapshot.ejections);
     std::vector<snapshot_record> records;
     for (std::string_view rest = text; !rest.empty();)
     {
--- a/kumquatloom/document/state_snapshot.hpp
+++ b/kumquatloom/document/state_snapshot.hpp
@@ -47,6 +47,10 @@
 std::optional<state_snapshot> parse_snapshot(snapshot_record const& header,
                                              std::string_view text);
 
+/// The offset, chain and digest of a snapshot, as its records carry them. A
+/// peer sends them with the text in one part.
+snapshot_record header_of(state_snapshot const& snapshot);
+
 /// The records that carry a snapshot, which needs at least one record before
 /// it in the log.
 std::vector<snapshot_record>
