Test races of edits and edits through an instance

The property of the follower now appends edits of two operators of one team and of another team from the same version. The document command is tested against an instance that reduces the edit, loses the reply or reports on another edit.

--- a/unit_tests/cli/document_command_test.cpp
+++ b/unit_tests/cli/document_command_test.cpp
@@ -1,5 +1,6 @@
 #include <kumquatloom/cli/commands.hpp>
 #include <kumquatloom/core/json_reader.hpp>
+#include <kumquatloom/document/edit_report.hpp>
 #include <kumquatloom/document/log_record.hpp>
 
 #include <boost/json/serialize.hpp>
@@ -300,6 +301,81 @@
     }
 }
 
+// Guards against an instance's answer that is misread.
+TEST_CASE("an operator edits the document through an instance")
+{
+    temporary_folder const folder;
+    enum class instance_mode
+    {
+        reduces,
+        reports_another_edit,
+        loses_reply
+    };
+    auto mode = instance_mode::reduces;
+    document::document_reducer reducer({}, document::ignore_ejections());
+    reducer.reduce({0, document::to_text(genesis())});
+    test_server const instance(
+        [&](test_request const& request) -> test_reply
+        {
+            auto const& current = reducer.state().document;
+            if (!request.is_post)
+                return {200,
+                        "{\"version\":" + std::to_string(current.version) +
+                            ",\"document\":" + document::to_text(current) + '}',
+                        false,
+                        {}};
+            core::fault_list faults;
+            auto const record = document::parse_record(request.body, faults);
+            auto const id = std::get<document::edit_record>(*record).id;
+            reducer.reduce({reducer.state().next, request.body});
+            auto report = document::report_of(*reducer.find_outcome(id));
+            if (mode == instance_mode::reports_another_edit)
+                report.id = "another";
+            return {200,
+                    document::to_text(report),
+                    mode == instance_mode::loses_reply,
+                    {}};
+        });
+    auto const address = settings::to_string(instance.address());
+    auto const edit = [&](std::string const& owner)
+    {
+        return run(
+            cli::run_document,
+            {"edit",
+             "--operators",
+             address,
+             "--section",
+             "a",
+             "--author",
+             owner,
+             "--key",
+             folder.write("key", core::to_hex(key_of(owner).private_bytes())),
+             "--file",
+             folder.write("a.json", section_text("a", "a-team", 42))});
+    };
+
+    SECTION("the decision is printed, and the section is shown")
+    {
+        CHECK(edit("a-team").status == 0);
+        auto const refused = edit("b-team");
+        CHECK(refused.status == 1);
+        CHECK(contains(refused.out, "not_owner"));
+        auto const shown =
+            run(cli::run_document,
+                {"show", "--operators", address, "--section", "a"});
+        CHECK(shown.status == 0);
+        CHECK(contains(shown.out, "\"limit_per_s\":42"));
+    }
+
+    SECTION("a lost reply or one about another edit is unknown")
+    {
+        mode = instance_mode::reports_another_edit;
+        CHECK(edit("a-team").status == 3);
+        mode = instance_mode::loses_reply;
+        CHECK(edit("a-team").status == 3);
+    }
+}
+
 // Guards against a key that others can read or that is overwritten.
 TEST_CASE("an owner makes a key pair")
 {
--- a/unit_tests/document/log_follower_test.cpp
+++ b/unit_tests/document/log_follower_test.cpp
@@ -81,6 +81,7 @@
     broken_edit,
     invalid_edit,
     lost_reply,
+    race,
     eject,
     readmit,
     poll,
@@ -233,6 +234,9 @@
             // The writer saw no reply and appends the same record again.
             log_.append(edit);
             break;
+        case step::race:
+            run_race(edit, section, author);
+            return;
         default:
             break;
         }
@@ -240,6 +244,28 @@
         expected_.emplace(id, verdict);
     }
 
+    /// Two operators of one team and one of the other team edit the same
+    /// version; the first of the team wins, and the other team is not hindered.
+    void run_race(edit_record const& edit,
+                  std::string const& section,
+                  std::string const& author)
+    {
+        log_.append(edit);
+        expected_.emplace(edit.id, edit_verdict::accepted);
+        auto const second = signed_edit(
+            edit.id + "-second", section, edit.base, author, edit.content);
+        log_.append(second);
+        expected_.emplace(second.id, edit_verdict::stale_base);
+        std::string const other = section == "a" ? "b" : "a";
+        auto const parallel = signed_edit(edit.id + "-parallel",
+                                          other,
+                                          edit.base,
+                                          other + "-team",
+                                          section_text(other, other + "-team"));
+        log_.append(parallel);
+        expected_.emplace(parallel.id, edit_verdict::accepted);
+    }
+
     void push(unsigned choice)
     {
         auto const& giver = *members_[choice % members_.size()];
@@ -293,6 +319,7 @@
                                                 {1, step::broken_edit},
                                                 {1, step::invalid_edit},
                                                 {2, step::lost_reply},
+                                                {2, step::race},
                                                 {2, step::eject},
                                                 {2, step::readmit},
                                                 {8, step::poll},
