Test membership on a simulated fleet and fix what it found

A fleet of up to 240 instances runs under a manual clock with lost, delayed, one-way and reordered messages. It found these faults: - Digests could be passed on in a loop between instances whose views of the cells differed; with 240 instances the number of messages grew without bound. Digests now carry the number of hops that are left. - A passed-on digest named the member that passed it on, so that records were asked for where they were not. Digests now name the relay. - A reader that could not reach the log was helped only for moments. It now says so in its heartbeats, and the next member reads for 30 s. - The relays of the cells of one region did not find each other. Digests also carry the sender's uptime: a process that was paused could take digests out of its socket as new and hand out instances that had left.

--- a/kumquatloom/cli/entries_command.cpp
+++ b/kumquatloom/cli/entries_command.cpp
@@ -188,7 +188,7 @@
                                      "FILE")(
         "failure-domain",
         "failure domain of the caller (the instance's own by default)",
-        cxxopts::value<std::string>()->default_value(""),
+        cxxopts::value<std::string>(),
         "NAME")("json", "print the answer as JSON");
     int status = exit_success;
     auto const parsed = parse_arguments(
@@ -222,11 +222,11 @@
         std::cerr << "the credential file has more than one line\n";
         return exit_usage;
     }
+    auto const domain = parsed->count("failure-domain") == 0
+                            ? std::string()
+                            : (*parsed)["failure-domain"].as<std::string>();
     auto const response =
-        fetch(*address,
-              make_request(instance,
-                           (*parsed)["failure-domain"].as<std::string>(),
-                           credential));
+        fetch(*address, make_request(instance, domain, credential));
     if (!response)
         return exit_failure;
     if (response->result() != http::status::ok)
--- a/kumquatloom/membership/cell_protocol.cpp
+++ b/kumquatloom/membership/cell_protocol.cpp
@@ -15,15 +15,21 @@
 namespace
 {
 
-/// Silent regions are tried through this many members at a time.
-constexpr std::size_t region_contacts = 2;
+/// Cells and regions without a known relay are tried through this many listed
+/// members at a time.
+constexpr std::size_t contacts_per_round = 2;
 
-/// Time without a digest after which another member of a region is tried.
+/// Time without a digest after which another member of a cell or region is
+/// tried.
 constexpr std::chrono::milliseconds region_silence{2500};
 
 /// Time for which the own cell may still get records that another cell has.
 constexpr std::chrono::milliseconds outside_grace{1500};
 
+/// Time after a pause in which messages may still come from the socket's
+/// buffer. Those whose lateness is unknown are ignored then.
+constexpr std::chrono::milliseconds settle_time{200};
+
 std::chrono::milliseconds age_of(core::time_point then, core::time_point now)
 {
     return std::chrono::ceil<std::chrono::milliseconds>(now - then);
@@ -31,6 +37,26 @@
 
 } // namespace
 
+template <typename Predicate>
+std::vector<peer::destination>
+cell_protocol::listed_contacts(peer::peer_scope scope, Predicate matches) const
+{
+    std::vector<listed_instance const*> listed;
+    for (auto const& named : list_)
+        if (!named.leaving && matches(named))
+            listed.push_back(&named);
+    // Successive rounds try all of them in turn.
+    std::vector<peer::destination> result;
+    for (std::size_t i = 0; i < std::min(contacts_per_round, listed.size());
+         ++i)
+    {
+        auto const position =
+            (digest_round_ * contacts_per_round + i) % listed.size();
+        result.push_back({listed[position]->peer_address, scope});
+    }
+    return result;
+}
+
 cell_protocol::cell_protocol(cell_protocol_settings settings,
                              local_identity identity,
                              core::time_point now)
@@ -90,7 +116,7 @@
     else if (std::holds_alternative<peer::leaving>(received.body))
         table_.hear_leaving(received.sender, received.incarnation);
     else if (std::holds_alternative<peer::cell_digest>(received.body))
-        receive_digest(received, source, now, out);
+        receive_digest(received, now, out);
 }
 
 void cell_protocol::apply_list(std::vector<listed_instance> list,
@@ -126,8 +152,8 @@
             if (key.first == identity_.region && origin == record_origin::log &&
                 summary.highest_offset < state_.state_offset)
                 out.pushes.push_back(
-                    {summary.sender,
-                     {summary.source, peer::peer_scope::same_region},
+                    {summary.relay,
+                     {summary.relay_address, peer::peer_scope::same_region},
                      summary.highest_offset + 1});
     }
 }
@@ -135,6 +161,15 @@
 void cell_protocol::log_read(core::time_point sent)
 {
     freshness_.read_log(sent);
+    last_log_read_ = std::max(last_log_read_, sent);
+    log_failed_until_ = core::time_point();
+}
+
+void cell_protocol::log_failed(core::time_point now)
+{
+    log_failed_until_ = now + settings_.log_retry;
+    // The others learn it at once, so that the next one takes over.
+    next_heartbeat_ = now;
 }
 
 bool cell_protocol::sync_answered(peer::sync_response const& response)
@@ -244,15 +279,24 @@
     // The others may have spoken while this process did not run, so that time
     // says nothing about them. The own freshness ages by itself.
     ++pauses_;
+    settled_at_ = now + settle_time;
     table_.excuse(gap, now);
 }
 
 void cell_protocol::update_roles(core::time_point now)
 {
     auto const readers = reader_election_.readers(
-        table_, now - freshness_.age(now), leaving_, now);
+        table_, now >= log_failed_until_, leaving_, now);
     auto const rank = rank_of(identity_.id, readers);
+    bool const was_reader = reader_;
     reader_ = rank < readers.size();
+    if (reader_ && !was_reader)
+        last_log_read_ = now;
+    if (reader_ && now - last_log_read_ >= settings_.log_timeout)
+    {
+        last_log_read_ = now;
+        log_failed(now);
+    }
     first_reader_ = reader_ && rank == 0;
     relay_ = relay_election_.relay(table_, leaving_, now) == identity_.id;
 }
@@ -282,21 +326,29 @@
                                       outbox& out)
 {
     auto const& beat = std::get<peer::heartbeat>(received.body);
-    // An instance of another region uses this one as its seed, and is told
-    // about the members of its own region.
-    if (beat.region != identity_.region)
+    // An instance of another region or cell uses this one as its seed, and is
+    // told about its own region.
+    if (beat.region != identity_.region || !belongs_here(received.sender))
     {
+        auto const scope = beat.region == identity_.region
+                               ? peer::peer_scope::same_region
+                               : peer::peer_scope::other_region;
         for (auto& digest : digests_.digests_of(beat.region, now))
-            out.datagrams.push_back({{{source, peer::peer_scope::other_region}},
-                                     std::move(digest)});
+        {
+            speak_for(digest, 0, now);
+            out.datagrams.push_back({{{source, scope}}, std::move(digest)});
+        }
         return;
     }
+    auto const* const known = table_.find(received.sender);
+    if (now < settled_at_ &&
+        (known == nullptr || known->incarnation != received.incarnation))
+        return;
     auto const how =
         table_.hear(received.sender, received.incarnation, beat, source, now);
     if (how == member_table::contact::ignored)
     {
         // Tells a process with an outdated incarnation that it has one.
-        auto const* const known = table_.find(received.sender);
         if (known != nullptr && known->incarnation > received.incarnation)
             out.datagrams.push_back(
                 {{{source, peer::peer_scope::same_region}},
@@ -384,11 +436,21 @@
 }
 
 void cell_protocol::receive_digest(peer::frame const& received,
-                                   settings::endpoint const& source,
                                    core::time_point now,
                                    outbox& out)
 {
-    auto const& digest = std::get<peer::cell_digest>(received.body);
+    auto digest = std::get<peer::cell_digest>(received.body);
+    // The time on the way and in the own socket counts as age as well.
+    auto late = table_.lateness(
+        received.sender, received.incarnation, digest.uptime, now);
+    if (!late)
+        late = outside_lateness_.lateness(
+            received.sender, received.incarnation, digest.uptime, now);
+    if (!late && now < settled_at_)
+        return;
+    for (auto& item : digest.members)
+        item.age += std::chrono::ceil<std::chrono::milliseconds>(
+            late.value_or(core::duration::zero()));
     for (auto const& item : digest.members)
         if (item.id == identity_.id && item.incarnation > identity_.incarnation)
             higher_incarnation_ =
@@ -411,15 +473,40 @@
         }
         return;
     }
-    digests_.receive(digest, received.sender, source, now);
-    // What comes from outside the cell is passed on inside it, once. Senders of
-    // the own cell are never part of the table of digests.
-    if (digests_.members().contains(received.sender))
+    digests_.receive(digest, now);
+    if (digest.hops > 0)
+        pass_on(std::move(digest), now, out);
+}
+
+void cell_protocol::pass_on(peer::cell_digest digest,
+                            core::time_point now,
+                            outbox& out)
+{
+    digest.uptime = uptime(now);
+    // What comes from another region also goes to the region's other cells.
+    if (digest.hops > 1)
     {
-        auto targets = cell_destinations();
-        if (!targets.empty())
-            out.datagrams.push_back({std::move(targets), digest});
+        digest.hops = 1;
+        for (auto const& [key, summary] : digests_.cells())
+            if (key.first == identity_.region)
+                out.datagrams.push_back(
+                    {{{summary.relay_address, peer::peer_scope::same_region}},
+                     digest});
     }
+    digest.hops = 0;
+    auto targets = cell_destinations();
+    if (!targets.empty())
+        out.datagrams.push_back({std::move(targets), std::move(digest)});
+}
+
+void cell_protocol::speak_for(peer::cell_digest& digest,
+                              std::uint8_t hops,
+                              core::time_point now) const
+{
+    digest.uptime = uptime(now);
+    digest.hops = hops;
+    digest.relay = identity_.id;
+    digest.relay_address = settings::to_string(identity_.peer_address);
 }
 
 void cell_protocol::claim(core::log_offset offset,
@@ -441,10 +528,10 @@
         leaving_ ? peer::announced_state::leaving : peer::announced_state::live;
     beat.ready = state_.ready;
     beat.reader = reader_;
+    beat.log_readable = now >= log_failed_until_;
     beat.relay = relay_;
     beat.refutation = refutation_;
-    beat.uptime =
-        std::chrono::duration_cast<std::chrono::milliseconds>(now - started_);
+    beat.uptime = uptime(now);
     beat.state_offset = state_.state_offset;
     beat.chain_digest = state_.chain_digest;
     beat.document_version = state_.document_version;
@@ -459,7 +546,7 @@
 void cell_protocol::probe_for_freshness(core::time_point now, outbox& out)
 {
     next_freshness_probe_ = now + settings_.freshness_interval;
-    if (reader_ && freshness_.age(now) < settings_.readers.stale_after)
+    if (reader_ && freshness_.age(now) < settings_.log_timeout)
         return;
     // Asks a member that reads the log, or else the freshest one.
     member const* best = nullptr;
@@ -481,15 +568,20 @@
 {
     next_digest_ = now + settings_.digest_interval;
     ++digest_round_;
-    auto const own = own_digests(now);
+    auto own = own_digests(now);
+    for (auto& digest : own)
+        speak_for(digest, 1, now);
 
     // The other cells of the region get the own cell only.
-    for (auto const& [key, summary] : digests_.cells())
-        if (key.first == identity_.region)
-            for (auto const& digest : own)
-                out.datagrams.push_back(
-                    {{{summary.source, peer::peer_scope::same_region}},
-                     digest});
+    for (std::size_t cell = 0; cell < cells_.cells(); ++cell)
+        if (cell != own_cell())
+        {
+            auto const targets =
+                cell_contacts(static_cast<cell_map::cell_index>(cell), now);
+            if (!targets.empty())
+                for (auto const& digest : own)
+                    out.datagrams.push_back({targets, digest});
+        }
     if (cells_.cells() > 1 &&
         own_cell() != cells_.cell_of(core::service_name("relay")))
         return;
@@ -497,6 +589,8 @@
     // One cell speaks for the whole region towards the other regions.
     auto all = digests_.digests_of(identity_.region, now);
     all.insert(all.end(), own.begin(), own.end());
+    for (auto& digest : all)
+        speak_for(digest, 2, now);
     std::set<core::region> regions;
     for (auto const& named : list_)
         if (named.region != identity_.region)
@@ -514,37 +608,48 @@
     core::time_point now,
     outbox& out)
 {
-    std::vector<peer::destination> targets;
     // Who sent the last digest is a relay over there.
     region_digest_table::cell_summary const* last = nullptr;
     for (auto const& [key, summary] : digests_.cells())
         if (key.first == region &&
             (last == nullptr || summary.received > last->received))
             last = &summary;
+    std::vector<peer::destination> targets;
     if (last != nullptr && now - last->received < region_silence)
-        targets.push_back({last->source, peer::peer_scope::other_region});
+        targets.push_back(
+            {last->relay_address, peer::peer_scope::other_region});
     else
-    {
-        // Otherwise the listed instances are tried in turn.
-        std::vector<listed_instance const*> listed;
-        for (auto const& named : list_)
-            if (named.region == region && !named.leaving)
-                listed.push_back(&named);
-        for (std::size_t i = 0; i < std::min(region_contacts, listed.size());
-             ++i)
-        {
-            auto const position =
-                (digest_round_ * region_contacts + i) % listed.size();
-            targets.push_back({listed[position]->peer_address,
-                               peer::peer_scope::other_region});
-        }
-    }
+        targets = listed_contacts(peer::peer_scope::other_region,
+                                  [&region](listed_instance const& named)
+                                  {
+                                      return named.region == region;
+                                  });
     if (targets.empty())
         return;
     for (auto const& digest : digests)
         out.datagrams.push_back({targets, digest});
 }
 
+std::vector<peer::destination>
+cell_protocol::cell_contacts(cell_map::cell_index cell,
+                             core::time_point now) const
+{
+    auto const found = digests_.cells().find({identity_.region, cell});
+    if (found != digests_.cells().end() &&
+        now - found->second.received < region_silence)
+        return {{found->second.relay_address, peer::peer_scope::same_region}};
+    return listed_contacts(peer::peer_scope::same_region,
+                           [this, cell](listed_instance const& named)
+                           {
+                               return cells_.cell_of(named.id) == cell;
+                           });
+}
+
+std::chrono::milliseconds cell_protocol::uptime(core::time_point now) const
+{
+    return std::chrono::floor<std::chrono::milliseconds>(now - started_);
+}
+
 void cell_protocol::ask_outside(core::time_point now, outbox& out)
 {
     region_digest_table::cell_key const* best_key = nullptr;
@@ -570,7 +675,14 @@
     auto const scope = best_key->first == identity_.region
                            ? peer::peer_scope::same_region
                            : peer::peer_scope::other_region;
-    spread_.ask_outside(best->sender, {best->source, scope}, state_, now, out);
+    spread_.ask_outside(
+        best->relay, {best->relay_address, scope}, state_, now, out);
+}
+
+bool cell_protocol::belongs_here(core::instance_id const& id) const
+{
+    // A member that is not mapped yet is a contact of this cell.
+    return cells_.cell_of(id).value_or(own_cell()) == own_cell();
 }
 
 std::vector<peer::destination> cell_protocol::cell_destinations() const
@@ -580,9 +692,7 @@
     for (auto const& [id, item] : table_.members())
     {
         heard_any = heard_any || item.heard();
-        auto const cell = cells_.cell_of(id);
-        // A member that is not mapped yet is a contact of this cell.
-        if (!cell || *cell == own_cell())
+        if (belongs_here(id))
             result.push_back(
                 {item.peer_address, peer::peer_scope::same_region});
     }
@@ -616,7 +726,8 @@
                  std::chrono::milliseconds(0)},
                 identity_.failure_domain);
     for (auto const& [id, item] : table_.members())
-        if (item.heard() && now - item.last_heard <= settings_.digest_age_limit)
+        if (item.heard() && belongs_here(id) &&
+            now - item.last_heard <= settings_.digest_age_limit)
             builder.add({id,
                          item.incarnation,
                          item.callers_address,
@@ -627,7 +738,10 @@
                          item.state == member_state::leaving,
                          age_of(item.last_heard, now)},
                         item.failure_domain);
-    return builder.finish();
+    auto result = builder.finish();
+    for (auto& digest : result)
+        speak_for(digest, 0, now);
+    return result;
 }
 
 std::vector<peer::suspicion> cell_protocol::suspicions() const
--- a/kumquatloom/membership/cell_protocol.hpp
+++ b/kumquatloom/membership/cell_protocol.hpp
@@ -16,6 +16,7 @@
 #include <kumquatloom/membership/reader_election.hpp>
 #include <kumquatloom/membership/region_digest_table.hpp>
 #include <kumquatloom/membership/relay_election.hpp>
+#include <kumquatloom/membership/sender_lateness.hpp>
 #include <kumquatloom/membership/spread_plan.hpp>
 #include <kumquatloom/peer/frame.hpp>
 #include <kumquatloom/peer/sync_response.hpp>
@@ -85,6 +86,10 @@
     /// A read of the log, sent at `sent`, was reduced to its end.
     void log_read(core::time_point sent);
 
+    /// The log cannot be read, so another member should take over. Without
+    /// this call the same follows from the absence of log_read().
+    void log_failed(core::time_point now);
+
     /// A sync response came. Its freshness counts once the records are
     /// reduced; false if nobody asked for it, as with a push.
     bool sync_answered(peer::sync_response const& response);
@@ -192,7 +197,6 @@
                      core::time_point now,
                      outbox& out);
     void receive_digest(peer::frame const& received,
-                        settings::endpoint const& source,
                         core::time_point now,
                         outbox& out);
     void claim(core::log_offset offset,
@@ -205,7 +209,18 @@
                                 std::vector<peer::cell_digest> const& digests,
                                 core::time_point now,
                                 outbox& out);
+    std::chrono::milliseconds uptime(core::time_point now) const;
+    void pass_on(peer::cell_digest digest, core::time_point now, outbox& out);
+    void speak_for(peer::cell_digest& digest,
+                   std::uint8_t hops,
+                   core::time_point now) const;
+    bool belongs_here(core::instance_id const& id) const;
     void ask_outside(core::time_point now, outbox& out);
+    std::vector<peer::destination> cell_contacts(cell_map::cell_index cell,
+                                                 core::time_point now) const;
+    template <typename Predicate>
+    std::vector<peer::destination> listed_contacts(peer::peer_scope scope,
+                                                   Predicate matches) const;
     std::vector<peer::destination> cell_destinations() const;
     std::vector<peer::cell_digest> own_digests(core::time_point now) const;
     std::vector<peer::suspicion> suspicions() const;
@@ -250,6 +265,11 @@
     bool first_reader_ = false;
     /// Whether it is the relay.
     bool relay_ = false;
+    /// When the last successful read of the log was sent, or when this
+    /// instance became a reader.
+    core::time_point last_log_read_;
+    /// Until when this instance counts as unable to read the log.
+    core::time_point log_failed_until_;
     /// Last time that a step saw.
     core::time_point last_step_;
     /// When the next heartbeat is due.
@@ -264,6 +284,10 @@
     std::optional<core::time_point> behind_outside_since_;
     /// A higher incarnation of the own id.
     std::optional<core::incarnation> higher_incarnation_;
+    /// Until when buffered messages of a pause may come.
+    core::time_point settled_at_;
+    /// Finds late digests from outside the cell.
+    sender_lateness outside_lateness_;
     /// Pauses that were noticed.
     std::uint64_t pauses_ = 0;
     /// Diverging states that were seen.
--- a/kumquatloom/membership/cell_protocol_settings.hpp
+++ b/kumquatloom/membership/cell_protocol_settings.hpp
@@ -30,6 +30,11 @@
     region_digest_table_settings digests;
     /// Time between two heartbeats.
     std::chrono::milliseconds heartbeat_interval{500};
+    /// Time without a successful read after which a reader counts as unable to
+    /// read the log. A long poll must be shorter.
+    std::chrono::milliseconds log_timeout{1500};
+    /// Time for which it then leaves the reading to others.
+    std::chrono::seconds log_retry{30};
     /// Time between two probes that ask how fresh a member is.
     std::chrono::milliseconds freshness_interval{1000};
     /// Time between two digests to another cell or region.
--- a/kumquatloom/membership/lateness_filter.hpp
+++ b/kumquatloom/membership/lateness_filter.hpp
@@ -25,6 +25,12 @@
     core::duration lateness(std::chrono::milliseconds uptime,
                             core::time_point now);
 
+    /// Whether there is a message to compare with.
+    bool primed() const
+    {
+        return current_.has_value();
+    }
+
 private:
     /// Smallest difference in the current window.
     std::optional<core::duration> current_;
--- a/kumquatloom/membership/member.hpp
+++ b/kumquatloom/membership/member.hpp
@@ -63,6 +63,8 @@
     bool ready = false;
     /// Whether it reads the log.
     bool reader = false;
+    /// Whether it could read the log when it last had to.
+    bool log_readable = true;
     /// Whether it relays digests.
     bool relay = false;
     /// Offset of its last reduced record.
--- a/kumquatloom/membership/member_table.cpp
+++ b/kumquatloom/membership/member_table.cpp
@@ -18,6 +18,7 @@
     item.refutation = std::max(item.refutation, beat.refutation);
     item.ready = beat.ready;
     item.reader = beat.reader;
+    item.log_readable = beat.log_readable;
     item.relay = beat.relay;
     item.state_offset = beat.state_offset;
     item.chain_digest = beat.chain_digest;
@@ -78,6 +79,19 @@
     return how;
 }
 
+std::optional<core::duration>
+member_table::lateness(core::instance_id const& sender,
+                       core::incarnation incarnation,
+                       std::chrono::milliseconds uptime,
+                       core::time_point now)
+{
+    auto const found = members_.find(sender);
+    if (found == members_.end() || found->second.incarnation != incarnation ||
+        !found->second.lateness.primed())
+        return std::nullopt;
+    return found->second.lateness.lateness(uptime, now);
+}
+
 void member_table::hear(peer::ack const& answer,
                         bool direct,
                         core::time_point asked,
--- a/kumquatloom/membership/member_table.hpp
+++ b/kumquatloom/membership/member_table.hpp
@@ -12,6 +12,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -49,6 +50,13 @@
                  settings::endpoint const& source,
                  core::time_point now);
 
+    /// How late another message of a member is, from the uptime in it; nothing
+    /// if the incarnation was never heard from.
+    std::optional<core::duration> lateness(core::instance_id const& sender,
+                                           core::incarnation incarnation,
+                                           std::chrono::milliseconds uptime,
+                                           core::time_point now);
+
     /// Takes in an ack. It proves that its subject lived at `asked`, when the
     /// probe was sent.
     void hear(peer::ack const& answer,
--- a/kumquatloom/membership/reader_election.cpp
+++ b/kumquatloom/membership/reader_election.cpp
@@ -18,35 +18,24 @@
 
 std::vector<core::instance_id>
 reader_election::readers(member_table const& table,
-                         core::time_point own_fresh_as_of,
+                         bool self_log_readable,
                          bool self_leaving,
                          core::time_point now) const
 {
-    std::vector<core::instance_id> candidates;
+    std::vector<core::instance_id> able;
+    std::vector<core::instance_id> unable;
     if (!self_leaving)
-        candidates.push_back(self_);
+        (self_log_readable ? able : unable).push_back(self_);
     for (auto const& [id, item] : table.members())
         if (item.live() && now - item.last_heard <= settings_.takeover)
-            candidates.push_back(id);
-    auto ranking = rank_candidates(role_, std::move(candidates));
-    std::size_t const wanted = settings_.readers_per_region +
-                               extra_readers(table, own_fresh_as_of, now);
-    ranking.resize(std::min(ranking.size(), wanted));
+            (item.log_readable ? able : unable).push_back(id);
+    auto ranking = rank_candidates(role_, std::move(able));
+    // During an outage of the log all become unable, and some still try.
+    auto const last = rank_candidates(role_, std::move(unable));
+    ranking.insert(ranking.end(), last.begin(), last.end());
+    ranking.resize(
+        std::min<std::size_t>(ranking.size(), settings_.readers_per_region));
     return ranking;
 }
 
-unsigned reader_election::extra_readers(member_table const& table,
-                                        core::time_point own_fresh_as_of,
-                                        core::time_point now) const
-{
-    auto freshest = own_fresh_as_of;
-    for (auto const& entry : table.members())
-        if (entry.second.live())
-            freshest = std::max(freshest, entry.second.fresh_as_of);
-    // Before the first read every age is huge, and all numbers stay bounded.
-    auto const steps = (now - freshest) / settings_.stale_after;
-    return static_cast<unsigned>(
-        std::clamp<core::duration::rep>(steps, 0, settings_.max_extra_readers));
-}
-
 } // namespace kumquatloom::membership
--- a/kumquatloom/membership/region_digest_table.cpp
+++ b/kumquatloom/membership/region_digest_table.cpp
@@ -12,15 +12,19 @@
 }
 
 void region_digest_table::receive(peer::cell_digest const& digest,
-                                  core::instance_id const& sender,
-                                  settings::endpoint const& source,
                                   core::time_point now)
 {
     cell_key const key(digest.region, digest.cell);
     if (!cells_.contains(key) && cells_.size() >= settings_.max_cells)
         return;
-    cells_[key] = {
-        digest.lowest_offset, digest.highest_offset, sender, source, now};
+    auto const address = settings::parse_endpoint(digest.relay_address);
+    if (!address)
+        return;
+    cells_[key] = {digest.lowest_offset,
+                   digest.highest_offset,
+                   digest.relay,
+                   *address,
+                   now};
     for (auto const& item : digest.members)
         receive_member(item, digest, now);
 }
--- a/kumquatloom/membership/region_digest_table.hpp
+++ b/kumquatloom/membership/region_digest_table.hpp
@@ -44,10 +44,10 @@
         core::log_offset lowest_offset = 0;
         /// Highest state offset of its members.
         core::log_offset highest_offset = 0;
-        /// Who sent the last digest.
-        core::instance_id sender;
+        /// The instance that speaks for the cell.
+        core::instance_id relay;
         /// Peers' address of that instance.
-        settings::endpoint source;
+        settings::endpoint relay_address;
         /// When the last digest came.
         core::time_point received;
     };
@@ -69,10 +69,7 @@
     explicit region_digest_table(region_digest_table_settings settings);
 
     /// Takes in a digest.
-    void receive(peer::cell_digest const& digest,
-                 core::instance_id const& sender,
-                 settings::endpoint const& source,
-                 core::time_point now);
+    void receive(peer::cell_digest const& digest, core::time_point now);
 
     /// Forgets members and cells that were not heard of for their lifetime.
     void expire(core::time_point now);
--- a/kumquatloom/peer/cell_digest.hpp
+++ b/kumquatloom/peer/cell_digest.hpp
@@ -8,7 +8,9 @@
 #include <kumquatloom/peer/limits.hpp>
 #include <kumquatloom/peer/message_kind.hpp>
 
+#include <chrono>
 #include <cstdint>
+#include <string>
 #include <vector>
 
 namespace kumquatloom::peer
@@ -25,6 +27,16 @@
     core::region region;
     /// Number of the cell in its region.
     std::uint16_t cell = 0;
+    /// Uptime of the instance that sent this, see heartbeat::uptime. An
+    /// instance that passes a digest on puts in its own.
+    std::chrono::milliseconds uptime{0};
+    /// The instance that speaks for the cell.
+    core::instance_id relay;
+    /// Its peers' address as "ip:port".
+    std::string relay_address;
+    /// How often the digest may still be passed on: 2 between regions, 1
+    /// between cells, 0 inside a cell. It rules out loops.
+    std::uint8_t hops = 0;
     /// Lowest state offset of the cell's live members.
     core::log_offset lowest_offset = 0;
     /// Highest state offset of the cell's live members.
@@ -39,7 +51,10 @@
     void serialize(Archive& archive)
     {
         archive(bounded<max_name_bytes>(region), cell);
-        archive(lowest_offset, highest_offset);
+        archive(wire_milliseconds(uptime),
+                bounded<max_name_bytes>(relay),
+                bounded<max_address_bytes>(relay_address));
+        archive(hops, lowest_offset, highest_offset);
         archive(bounded<max_cell_members>(domains),
                 bounded<max_cell_members>(members));
     }
--- a/kumquatloom/peer/heartbeat.hpp
+++ b/kumquatloom/peer/heartbeat.hpp
@@ -35,6 +35,8 @@
     bool ready = false;
     /// Whether the sender reads the log for its region.
     bool reader = false;
+    /// Whether the sender could read the log when it last had to.
+    bool log_readable = true;
     /// Whether the sender relays digests between regions.
     bool relay = false;
     /// Number that outranks suspicions with a smaller or equal number.
@@ -65,7 +67,7 @@
     void serialize(Archive& archive)
     {
         archive(checked_enum(state), wire_flag(ready), wire_flag(reader));
-        archive(wire_flag(relay), refutation);
+        archive(wire_flag(log_readable), wire_flag(relay), refutation);
         archive(wire_milliseconds(uptime), state_offset, chain_digest);
         archive(document_version, wire_milliseconds(freshness_age));
         archive(bounded<max_name_bytes>(failure_domain),
--- /dev/null
+++ b/unit_tests/membership/cell_protocol_test.cpp
@@ -0,0 +1,319 @@
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+#include <unit_tests/membership/simulated_fleet.hpp>
+
+using namespace kumquatloom;
+using namespace kumquatloom::membership;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+/// Time until everything is heard from after a change.
+constexpr auto settle = 8s;
+
+/// The reader of a region that pushes.
+std::size_t reader_of(simulated_fleet const& fleet, std::string const& region)
+{
+    for (auto const index : fleet.running())
+        if (fleet.instances[index].protocol->reader() &&
+            fleet.instances[index].identity.region == core::region(region))
+            return index;
+    return fleet.instances.size();
+}
+
+/// Whether every running instance holds the head of the log.
+bool all_hold_head(simulated_fleet const& fleet)
+{
+    for (auto const index : fleet.running())
+        if (fleet.instances[index].state.state_offset != fleet.head())
+            return false;
+    return true;
+}
+
+} // namespace
+
+TEST_CASE("a healthy fleet of 48 knows itself", "[membership]")
+{
+    // Guards against members, roles or records that do not reach everybody.
+    simulated_fleet fleet(12, 20261204);
+    fleet.faults.max_delay = 8ms;
+    fleet.run(settle);
+    REQUIRE(fleet.differences() == "");
+    for (auto const& [region, readers] : fleet.readers())
+        REQUIRE(readers == 1);
+
+    SECTION("a new record reaches all, and its log read is the only crossing")
+    {
+        fleet.append();
+        fleet.run(400ms);
+        REQUIRE(all_hold_head(fleet));
+        REQUIRE(fleet.syncs_across_regions == 0);
+    }
+    SECTION("all are fresh by asking readers")
+    {
+        fleet.run(10s,
+                  [&fleet]
+                  {
+                      for (auto const index : fleet.running())
+                          REQUIRE(
+                              fleet.instances[index].protocol->freshness_age(
+                                  fleet.now()) <= 2500ms);
+                  });
+    }
+    SECTION("a crashed reader is replaced within its time")
+    {
+        fleet.crash(reader_of(fleet, "nairobi"));
+        fleet.append();
+        fleet.run(1900ms);
+        REQUIRE(all_hold_head(fleet));
+    }
+    SECTION("a reader that cannot reach the log gets company")
+    {
+        fleet.instances[reader_of(fleet, "nairobi")].log_reachable = false;
+        fleet.run(2s);
+        fleet.append();
+        fleet.run(1500ms);
+        REQUIRE(all_hold_head(fleet));
+    }
+    SECTION("a log outage does not make everybody read")
+    {
+        for (auto& item : fleet.instances)
+            item.log_reachable = false;
+        fleet.run(60s);
+        for (auto const& [region, readers] : fleet.readers())
+            REQUIRE(readers <= 4);
+        for (auto const index : fleet.running())
+            REQUIRE_FALSE(fleet.instances[index].protocol->fresh(fleet.now()));
+    }
+    SECTION("a lost failure domain is left out and its roles are taken over")
+    {
+        for (std::size_t i = 0; i < 12; ++i)
+            fleet.crash(i);
+        fleet.append();
+        fleet.run(4s);
+        REQUIRE(fleet.differences() == "");
+        REQUIRE(all_hold_head(fleet));
+        fleet.run(settle);
+        REQUIRE(fleet.readers()[core::region("nairobi")] == 1);
+    }
+    SECTION("a mass restart is not taken for a replay of the old processes")
+    {
+        for (std::size_t i = 0; i < 48; ++i)
+            fleet.restart(i);
+        fleet.run(settle);
+        REQUIRE(fleet.differences() == "");
+        REQUIRE(all_hold_head(fleet));
+    }
+    SECTION("all instances are replaced by others with other names")
+    {
+        std::vector<std::size_t> const old = fleet.running();
+        for (std::size_t i = 0; i < old.size(); i += 4)
+        {
+            for (std::size_t j = i; j < i + 4; ++j)
+                fleet.start(
+                    fleet.instances[old[j]].identity.failure_domain.value());
+            fleet.run(settle);
+            for (std::size_t j = i; j < i + 4; ++j)
+                fleet.leave(old[j]);
+            fleet.run(5s);
+            for (std::size_t j = i; j < i + 4; ++j)
+                fleet.crash(old[j]);
+            fleet.append();
+        }
+        fleet.run(settle);
+        REQUIRE(fleet.running().size() == 48);
+        REQUIRE(fleet.differences() == "");
+        REQUIRE(all_hold_head(fleet));
+    }
+    SECTION("regions that lose contact go on alone and converge again")
+    {
+        auto const reader = reader_of(fleet, "mombasa");
+        fleet.cut_regions(true);
+        // The log stands in nairobi.
+        for (auto const index : fleet.running())
+            if (fleet.instances[index].identity.region ==
+                core::region("mombasa"))
+                fleet.instances[index].log_reachable = false;
+        fleet.append();
+        fleet.run(60s);
+        REQUIRE_FALSE(fleet.hands_out(0, reader));
+        REQUIRE_FALSE(fleet.instances[reader].protocol->fresh(fleet.now()));
+        REQUIRE(fleet.hands_out(reader, reader == 47 ? 46 : 47));
+        fleet.cut_regions(false);
+        // The log stays out of reach, so only peers bring the record.
+        fleet.run(5s);
+        REQUIRE(fleet.differences() == "");
+        REQUIRE(all_hold_head(fleet));
+        // One request and its response crossed the link.
+        REQUIRE(fleet.syncs_across_regions == 2);
+    }
+    SECTION("a paused instance does not judge others by its own pause")
+    {
+        fleet.pause(5);
+        fleet.run(10s);
+        REQUIRE(fleet.state_of(6, 5) == member_state::dead);
+        fleet.resume(5);
+        REQUIRE_FALSE(fleet.instances[5].protocol->fresh(fleet.now()));
+        fleet.run(300ms);
+        REQUIRE(fleet.instances[5].protocol->pauses() == 1);
+        for (std::size_t i = 0; i < 24; ++i)
+            if (i != 5)
+                REQUIRE(fleet.state_of(5, i) == member_state::live);
+        fleet.run(settle);
+        REQUIRE(fleet.differences() == "");
+    }
+    SECTION("a process with an outdated incarnation learns the newer one")
+    {
+        auto const outdated = fleet.restart(3, -500);
+        fleet.run(4s);
+        auto const higher =
+            fleet.instances[outdated].protocol->higher_incarnation();
+        REQUIRE(higher == fleet.instances[3].identity.incarnation);
+        fleet.instances[outdated].protocol->adopt_incarnation(*higher + 1);
+        fleet.instances[outdated].identity.incarnation = *higher + 1;
+        fleet.run(settle);
+        REQUIRE(fleet.differences() == "");
+    }
+}
+
+TEST_CASE("a newcomer without a list is introduced by its seed", "[membership]")
+{
+    // Guards against a fleet that cannot grow while the platform is down.
+    simulated_fleet fleet(4, 20261204);
+    fleet.run(settle);
+    fleet.list_reachable = false;
+    fleet.start("nbi-west");
+    fleet.start("msa-north");
+    fleet.run(settle);
+    REQUIRE(fleet.differences() == "");
+}
+
+TEST_CASE("several hundred instances form cells that know each other",
+          "[membership]")
+{
+    // Guards against views that are limited to one cell.
+    simulated_fleet fleet(60, 20261204);
+    fleet.faults.max_delay = 8ms;
+    fleet.run(settle);
+    auto const& cells = fleet.instances[0].protocol->cells();
+    REQUIRE(cells.cells() == 5);
+    REQUIRE(fleet.differences() == "");
+    fleet.append();
+    fleet.run(3s);
+    REQUIRE(all_hold_head(fleet));
+}
+
+TEST_CASE("membership properties", "[membership]")
+{
+    rc::prop("a cut path in one direction makes nobody look dead",
+             [](std::uint32_t seed)
+             {
+                 simulated_fleet fleet(4, seed);
+                 fleet.faults.max_delay = 20ms;
+                 fleet.run(settle);
+                 fleet.faults.loss = *rc::gen::inRange(0, 6) / 100.0;
+                 std::size_t const from = *rc::gen::inRange<int>(0, 8);
+                 std::size_t const to =
+                     (from + *rc::gen::inRange<int>(1, 8)) % 8;
+                 fleet.cut(from, to);
+                 fleet.run(20s,
+                           [&]
+                           {
+                               for (std::size_t i = 0; i < 8; ++i)
+                                   for (std::size_t j = 0; j < 8; ++j)
+                                       RC_ASSERT(fleet.state_of(i, j) !=
+                                                 member_state::dead);
+                           });
+             });
+
+    rc::prop("all crashed members are suspected and not handed out in time",
+             [](std::uint32_t seed)
+             {
+                 simulated_fleet fleet(6, seed);
+                 fleet.faults.max_delay = 20ms;
+                 fleet.faults.loss = *rc::gen::inRange(0, 20) / 100.0;
+                 fleet.run(settle);
+                 std::set<std::size_t> crashed;
+                 for (int i = *rc::gen::inRange(1, 6); i > 0; --i)
+                     crashed.insert(*rc::gen::inRange<int>(0, 24));
+                 for (auto const index : crashed)
+                     fleet.crash(index);
+                 // 1.5 s, one step and the time on the way.
+                 fleet.run(1700ms);
+                 for (auto const observer : fleet.running())
+                     for (auto const subject : crashed)
+                         if (fleet.instances[observer].identity.region ==
+                             fleet.instances[subject].identity.region)
+                             RC_ASSERT(fleet.state_of(observer, subject) !=
+                                       member_state::live);
+                 fleet.run(500ms);
+                 for (auto const observer : fleet.running())
+                     for (auto const subject : crashed)
+                         if (fleet.instances[observer].identity.region ==
+                             fleet.instances[subject].identity.region)
+                             RC_ASSERT(!fleet.hands_out(observer, subject));
+                 fleet.run(2500ms);
+                 for (auto const observer : fleet.running())
+                     for (auto const subject : crashed)
+                         RC_ASSERT(!fleet.hands_out(observer, subject));
+             });
+
+    rc::prop(
+        "a leaving instance is not handed out after the bound",
+        [](std::uint32_t seed)
+        {
+            simulated_fleet fleet(6, seed);
+            fleet.faults.max_delay =
+                std::chrono::milliseconds(*rc::gen::inRange(1, 250));
+            fleet.run(settle);
+            std::size_t const leaver = *rc::gen::inRange<int>(0, 24);
+            std::size_t const paused = *rc::gen::inRange<int>(0, 24);
+            // Up to everything that the leaver sends is lost, also before.
+            for (std::size_t i = 0; i < 24; ++i)
+                if (*rc::gen::inRange(0, 3) == 0)
+                    fleet.cut(leaver, i);
+            fleet.faults.loss = *rc::gen::inRange(0, 60) / 100.0;
+            fleet.run(std::chrono::milliseconds(*rc::gen::inRange(0, 2000)));
+            if (paused != leaver)
+                fleet.pause(paused);
+            fleet.run(std::chrono::milliseconds(*rc::gen::inRange(0, 2000)));
+            fleet.leave(leaver);
+            // 4 s and the margin of 1 s, see directory::drain_timer_settings.
+            fleet.run(5s);
+            fleet.run(std::chrono::milliseconds(*rc::gen::inRange(0, 10000)));
+            if (paused != leaver)
+                fleet.resume(paused);
+            fleet.run(10s,
+                      [&]
+                      {
+                          for (auto const observer : fleet.running())
+                              RC_ASSERT(!fleet.hands_out(observer, leaver));
+                      });
+        });
+
+    rc::prop("all live members converge after a partition",
+             [](std::uint32_t seed)
+             {
+                 simulated_fleet fleet(4, seed);
+                 fleet.faults.max_delay = 50ms;
+                 fleet.run(settle);
+                 std::vector<std::pair<std::size_t, std::size_t>> cuts;
+                 for (int i = *rc::gen::inRange(1, 120); i > 0; --i)
+                     cuts.emplace_back(*rc::gen::inRange<int>(0, 16),
+                                       *rc::gen::inRange<int>(0, 16));
+                 for (auto const& [from, to] : cuts)
+                     fleet.cut(from, to);
+                 fleet.cut_regions(*rc::gen::arbitrary<bool>());
+                 fleet.append();
+                 fleet.run(
+                     std::chrono::milliseconds(*rc::gen::inRange(0, 20000)));
+                 for (auto const& [from, to] : cuts)
+                     fleet.cut(from, to, false);
+                 fleet.cut_regions(false);
+                 fleet.run(settle);
+                 RC_ASSERT(fleet.converged());
+                 RC_ASSERT(all_hold_head(fleet));
+             });
+}
