--- a/kumquatloom/health/health_monitor.cpp
+++ b/kumquatloom/health/health_monitor.cpp
@@ -33,11 +33,18 @@
 /// Score from which a failure domain counts as blaming an upstream.
 constexpr double domain_blames = 3;
 /// Time in which recent attempts fade to 1/e.
-constexpr double recent_seconds = 2;
+constexpr double recent_seconds = 1;
+/// Time in which the peak of the background fades to 1/e. A fault of all
+/// upstreams that was short is remembered until its evidence is used up.
+constexpr double peak_seconds = 10;
 /// An own failure pattern over more than this part of the upstreams in use,
 /// and at least so many, points at this instance.
 constexpr double spread_fraction = 0.4;
 constexpr unsigned spread_least = 3;
+/// An upstream is part of that pattern if this fraction of the recent attempts
+/// was bad, and nearly one attempt at least after fading.
+constexpr double spread_bad_fraction = 0.3;
+constexpr double spread_bad_attempts = 0.9;
 /// A peer that was silent for this long may have restarted its sequence.
 constexpr core::duration sequence_memory = 10s;
 /// Late responses of a new upstream are not counted: it starts cold.
@@ -118,7 +125,8 @@
 void health_monitor::record(attempt_report const& report, core::time_point now)
 {
     if (auto* const state = find(report.upstream))
-        add_own(*state, counts_of(report.result), now);
+        add_own(
+            *state, take_recent(*state, counts_of(report.result), now), now);
 }
 
 void health_monitor::record_probe(core::upstream_id const& upstream,
@@ -181,13 +189,18 @@
         if (!state.tracked.recorder)
             continue;
         state.recent_refused += state.tracked.recorder->drain_refusals();
-        add_own(state, state.tracked.recorder->drain(), now);
+        state.drained =
+            take_recent(state, state.tracked.recorder->drain(), now);
     }
     // Renewed at every tick, as latencies double within 200 ms of an overload.
+    // The background comes first, so that a sudden fault of all upstreams is
+    // not weighed by what was usual before.
     renew_thresholds();
     renew_background();
+    for (auto& state : upstreams_)
+        add_own(state, std::exchange(state.drained, {}), now);
     // Decide with the evidence of all observers.
-    judge_causes(now);
+    judge_causes();
     for (auto& state : upstreams_)
         decide(state, now);
 }
@@ -317,7 +330,7 @@
     {
         if (state.course.standing() != upstream_standing::avoided ||
             now - state.course.since() < settings_.detection.sustained ||
-            state.merged.score() < settings_.detection.eject_score)
+            eject_score(state) < settings_.detection.eject_score)
             continue;
         std::set<core::failure_domain> domains;
         if (state.own.score() > 0)
@@ -358,17 +371,24 @@
     return found == by_id_.end() ? nullptr : &upstreams_[found->second];
 }
 
-void health_monitor::add_own(upstream_evidence& state,
-                             evidence_counts counts,
-                             core::time_point now)
+evidence_counts health_monitor::take_recent(upstream_evidence& state,
+                                            evidence_counts counts,
+                                            core::time_point now) const
 {
     if (now - state.first_seen < warm_up || service_is_overloaded_)
         counts.late = 0;
-    if (counts.total() == 0)
-        return;
     state.recent_total += counts.total();
     state.recent_failed += counts.error + counts.timeout;
     state.recent_late += counts.late;
+    return counts;
+}
+
+void health_monitor::add_own(upstream_evidence& state,
+                             evidence_counts const& counts,
+                             core::time_point now)
+{
+    if (counts.total() == 0)
+        return;
     state.episode_counts += counts;
     double const weight = detector_.weigh(counts, background_);
     // A suspect observer does not count its own evidence.
@@ -471,9 +491,13 @@
         background_.failed /= total;
         background_.late /= total;
     }
+    double const keep = std::exp(
+        -std::chrono::duration<double>(tick_interval).count() / peak_seconds);
+    peak_.failed = std::max(background_.failed, peak_.failed * keep);
+    peak_.late = std::max(background_.late, peak_.late * keep);
 }
 
-void health_monitor::judge_causes(core::time_point now)
+void health_monitor::judge_causes()
 {
     unsigned in_use = 0;
     unsigned own_bad = 0;
@@ -490,8 +514,9 @@
             ++in_use;
         if (state.recent_refused >= 1)
             ++refusing;
-        if (state.own.score() >= interest_score &&
-            now - state.own.last_bad() < interest_time)
+        double const bad = state.recent_failed + state.recent_late;
+        if (bad >= spread_bad_attempts &&
+            bad >= spread_bad_fraction * state.recent_total)
             ++own_bad;
         if (is_sampled || is_kept_out)
             ++seen;
@@ -523,6 +548,12 @@
            others >= asked.avoid_score * support_fraction;
 }
 
+double health_monitor::eject_score(upstream_evidence const& state) const
+{
+    return std::min(state.merged.score(),
+                    detector_.weigh(state.merged.run(), peak_));
+}
+
 bool health_monitor::answers_wrong(upstream_evidence const& state) const
 {
     return outlier_detector::weigh_wrong(state.merged.run()) >=
@@ -564,7 +595,9 @@
 
 void health_monitor::decide(upstream_evidence& state, core::time_point now)
 {
-    bool const is_quiet = now - state.merged.last_bad() >= interest_time;
+    bool const is_quiet =
+        now - std::max(state.merged.last_bad(), state.own.last_bad()) >=
+        interest_time;
     bool const is_benign = state.merged.score() <= 0 &&
                            now - state.merged.last_bad() >= benign_time;
     if (is_benign)
--- a/kumquatloom/health/health_monitor.hpp
+++ b/kumquatloom/health/health_monitor.hpp
@@ -127,8 +127,13 @@
     /// Whether a message is older than one that was already merged.
     bool is_outdated(evidence_message const& message, core::time_point now);
     /// Adds own attempts.
-    void
-    add_own(upstream_evidence& state, evidence_counts counts, core::time_point);
+    void add_own(upstream_evidence& state,
+                 evidence_counts const& counts,
+                 core::time_point now);
+    /// Adds attempts to the recent ones; returns those that count as evidence.
+    evidence_counts take_recent(upstream_evidence& state,
+                                evidence_counts counts,
+                                core::time_point now) const;
     /// Whether an own message about the upstream is wanted.
     static bool is_of_interest(upstream_evidence const& state,
                                core::time_point now);
@@ -139,9 +144,13 @@
     /// Renews the background rates from the healthier two thirds.
     void renew_background();
     /// Decides whether the fault is here, or shared.
-    void judge_causes(core::time_point now);
+    void judge_causes();
     /// Whether the evidence suffices to avoid the upstream.
     bool looks_sick(upstream_evidence const& state, core::time_point now) const;
+    /// Score for an ejection: the whole evidence, weighed against the worst
+    /// background of the last seconds. At the onset of an overload some
+    /// upstreams collect a high score before the background is known.
+    double eject_score(upstream_evidence const& state) const;
     /// Whether wrong answers alone suffice; they have no shared cause.
     bool answers_wrong(upstream_evidence const& state) const;
     /// Adds one observer's evidence to what all observers saw.
@@ -175,6 +184,8 @@
     std::unordered_map<core::instance_id, peer_state> peers_;
     /// What healthy upstreams show.
     background_rates background_;
+    /// The worst background of the last seconds.
+    background_rates peak_;
     /// When the last evidence was exported.
     core::time_point exported_;
     /// Sequence number of the last message.
--- a/kumquatloom/health/outlier_detector.cpp
+++ b/kumquatloom/health/outlier_detector.cpp
@@ -26,7 +26,10 @@
 /// samples and healthy upstreams differ.
 constexpr double background_margin = 2;
 /// A background above this leaves nothing to tell a sick upstream by.
-constexpr double max_rate = 0.25;
+constexpr double max_rate = 0.45;
+/// A sick upstream is at least so many times as bad as the assumed background;
+/// without this, the scores of all upstreams drift upwards in an overload.
+constexpr double sick_factor = 2;
 /// Added to the late threshold, because in a service that answers within
 /// microseconds the network alone exceeds any multiple of the median.
 constexpr core::duration late_slack = 2ms;
@@ -43,10 +46,11 @@
 {
     double const failed = assumed_rate(background.failed, min_failed_rate);
     double const late = assumed_rate(background.late, min_late_rate);
-    double const healthy_ok = 1 - std::min(failed + late, max_rate);
-    double score = counts.ok * std::log((1 - sick_rate) / healthy_ok);
-    score += (counts.error + counts.timeout) * std::log(sick_rate / failed);
-    score += counts.late * std::log(sick_rate / late);
+    double const healthy = std::min(failed + late, max_rate);
+    double const sick = std::max(sick_rate, sick_factor * healthy);
+    double score = counts.ok * std::log((1 - sick) / (1 - healthy));
+    score += (counts.error + counts.timeout) * std::log(sick / failed);
+    score += counts.late * std::log(sick / late);
     return score + weigh_wrong(counts);
 }
 
--- a/kumquatloom/health/upstream_evidence.hpp
+++ b/kumquatloom/health/upstream_evidence.hpp
@@ -42,6 +42,8 @@
     double recent_failed = 0;
     double recent_late = 0;
     double recent_refused = 0;
+    /// Own attempts of this tick that are not weighed yet.
+    evidence_counts drained;
     /// Trial requests asked for since it has been avoided.
     unsigned trials = 0;
 };
--- /dev/null
+++ b/unit_tests/routing/picker_test.cpp
@@ -0,0 +1,208 @@
+#include <kumquatloom/routing/picker.hpp>
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+#include <chrono>
+#include <map>
+#include <set>
+#include <string>
+
+namespace
+{
+
+using namespace kumquatloom;
+using namespace std::chrono_literals;
+using health::upstream_standing;
+using routing::spill;
+
+core::time_point const start{1h};
+routing::locality const here{core::failure_domain("near"),
+                             core::region("home")};
+
+routing::listed_upstream
+listed(std::string const& id, char const* domain, char const* region)
+{
+    return {{core::upstream_id(id),
+             core::service_name("storefront"),
+             "127.0.0.1",
+             80,
+             core::failure_domain(domain),
+             core::region(region),
+             2},
+            false};
+}
+
+std::vector<routing::listed_upstream> three_places()
+{
+    return {listed("far", "abroad", "away"),
+            listed("middle", "next", "home"),
+            listed("close", "near", "home")};
+}
+
+void decide(routing::picker& picker,
+            char const* id,
+            upstream_standing standing,
+            core::time_point honoured_until)
+{
+    picker.table()->publish({{core::upstream_id(id), standing, 1, 1, false}},
+                            honoured_until);
+}
+
+std::string picked(core::result<routing::pick, routing::pick_error> const& pick)
+{
+    return pick ? pick.value().object->endpoint().id.value()
+                : std::string(to_string(pick.error()));
+}
+
+} // namespace
+
+// Guards against work that crosses the paid link or reaches an upstream that
+// must not have it.
+TEST_CASE("an instance picks the nearest upstream that may have the work")
+{
+    routing::picker picker;
+    picker.publish(
+        routing::upstream_table::build(nullptr, three_places(), here, start));
+
+    SECTION("the own domain, then the region, then the other one is filled")
+    {
+        std::string order;
+        for (std::uint64_t i = 0; i < 7; ++i)
+            order += picked(picker.choose({{}, false, i}, start)) + ' ';
+        CHECK(order == "close close middle middle far far no_free_slot ");
+        CHECK(picker.spills().value(spill::other_region) == 2);
+    }
+
+    SECTION("an upstream that reports full slots is passed over for a while")
+    {
+        auto const close = picker.table()->find(core::upstream_id("close"));
+        close->report_load(2, start);
+        CHECK(picked(picker.choose({}, start)) == "middle");
+        CHECK(picked(picker.choose({}, start + 1s)) == "close");
+    }
+
+    SECTION("a retry goes elsewhere")
+    {
+        auto const first = picker.choose({}, start);
+        std::vector tried{first.value().object};
+        CHECK(picked(picker.choose({tried, true, 1}, start)) == "middle");
+    }
+
+    SECTION("an avoided upstream is a reserve, an ejected one is none")
+    {
+        decide(picker, "close", upstream_standing::avoided, start);
+        decide(picker, "middle", upstream_standing::ejected, start + 1s);
+        std::string order;
+        for (std::uint64_t i = 0; i < 5; ++i)
+            order += picked(picker.choose({{}, false, i}, start)) + ' ';
+        CHECK(order == "far far close close no_free_slot ");
+
+        SECTION("the ejection lapses while the control thread is paused")
+        {
+            CHECK(picked(picker.choose({}, start + 2s)) == "middle");
+        }
+    }
+
+    SECTION("one repeatable request goes to an avoided upstream as a trial")
+    {
+        picker.table()->publish({{core::upstream_id("close"),
+                                  upstream_standing::avoided,
+                                  1,
+                                  1,
+                                  true}},
+                                start);
+        CHECK(picked(picker.choose({{}, false, 1}, start)) == "middle");
+        CHECK(picked(picker.choose({{}, true, 2}, start)) == "close");
+        CHECK(picked(picker.choose({{}, true, 3}, start)) == "middle");
+        CHECK(picker.spills().value(spill::trial) == 1);
+    }
+}
+
+// Guards against a cold upstream that gets a full share, and against an
+// instance that starts and treats all its upstreams as cold.
+TEST_CASE("a new upstream gets a rising share")
+{
+    routing::picker picker;
+    std::vector list{listed("old", "near", "home")};
+    picker.publish(routing::upstream_table::build(nullptr, list, here, start));
+    list.push_back(listed("new", "near", "home"));
+    picker.publish(
+        routing::upstream_table::build(picker.table(), list, here, start));
+    auto const share = [&](core::time_point now)
+    {
+        int count = 0;
+        for (std::uint64_t i = 0; i < 1000; ++i)
+        {
+            auto const pick = picker.choose({{}, false, i}, now).value();
+            count += pick.object->endpoint().id.value() == "new" ? 1 : 0;
+            picker.finished(pick,
+                            {pick.object->endpoint().id,
+                             health::attempt_result::success,
+                             10ms,
+                             1s},
+                            now);
+        }
+        return count;
+    };
+    int const at_first = share(start);
+    CHECK(at_first < 250);
+    CHECK(share(start + 5s) > at_first);
+    CHECK(share(start + 10s) > 350);
+}
+
+// Guards against work for an upstream that is leaving, when the list lags,
+// drops it, or shows it as live again.
+TEST_CASE("a leaving upstream is never picked again")
+{
+    rc::prop("for any order of notices, lists and decisions",
+             []
+             {
+                 routing::picker picker;
+                 core::time_point now = start;
+                 std::set<std::string> left;
+                 for (int step = 0; step < 60; ++step)
+                 {
+                     now += 100ms;
+                     auto list = three_places();
+                     // The list may lag, and may miss any upstream.
+                     for (auto& item : list)
+                     {
+                         item.leaving = *rc::gen::weightedElement<bool>(
+                             {{9, false}, {1, true}});
+                         if (item.leaving)
+                             left.insert(item.endpoint.id.value());
+                     }
+                     std::erase_if(list,
+                                   [&](auto const& item)
+                                   {
+                                       return !item.leaving &&
+                                              *rc::gen::inRange(0, 4) == 0;
+                                   });
+                     picker.publish(routing::upstream_table::build(
+                         picker.table(), list, here, now));
+                     // A response header says it for one of them.
+                     auto const named = *rc::gen::inRange<std::size_t>(0, 24);
+                     if (named < list.size())
+                     {
+                         auto const& id = list[named].endpoint.id;
+                         picker.table()->find(id)->mark_leaving();
+                         left.insert(id.value());
+                     }
+                     for (auto const& item : list)
+                         decide(
+                             picker,
+                             item.endpoint.id.value().c_str(),
+                             *rc::gen::element(upstream_standing::normal,
+                                               upstream_standing::avoided,
+                                               upstream_standing::recovering),
+                             now);
+                     auto const pick = picker.choose(
+                         {{}, true, *rc::gen::arbitrary<std::uint64_t>()}, now);
+                     if (!pick)
+                         continue;
+                     RC_ASSERT(!left.contains(picked(pick)));
+                     pick.value().object->end_attempt();
+                 }
+             });
+}
