--- a/kumquatloom/control/control_plane.cpp
+++ b/kumquatloom/control/control_plane.cpp
@@ -62,6 +62,14 @@
 /// Ejections are honoured, and snapshots written, by a fresh instance only.
 constexpr milliseconds freshness_lease{5000};
 
+/// The last log offset that a member holds which announces a number of records.
+std::optional<core::log_offset> last_offset(core::log_offset records)
+{
+    if (records == 0)
+        return std::nullopt;
+    return records - 1;
+}
+
 asio::awaitable<void> pause(milliseconds time)
 {
     asio::steady_timer timer(co_await asio::this_coro::executor, time);
@@ -473,7 +481,7 @@
             state.start().told_of(id);
             if (member.heard() && member.state_offset != 0)
                 state.start().heard_from(
-                    id, member.ready, member.state_offset + 1);
+                    id, member.ready, member.state_offset);
         }
         bool const next =
             state.may_serve() && state.active_document() != nullptr;
@@ -489,7 +497,7 @@
         std::vector<std::optional<core::log_offset>> others;
         for (auto const& [id, member] : protocol->table().members())
             if (member.live())
-                others.emplace_back(member.state_offset);
+                others.push_back(last_offset(member.state_offset));
         bool const changed = state.update_activation(others, now);
         auto const& document = state.active_document();
         if (!state.may_serve() || !document ||
--- a/kumquatloom/control/fleet_state.cpp
+++ b/kumquatloom/control/fleet_state.cpp
@@ -111,10 +111,12 @@
 
 peer::sync_response fleet_state::answer(peer::sync_request const& request)
 {
+    // Peers count records from 1, so that 0 can stand for none.
     auto const next = reducer_.state().next;
+    auto const from = request.from == 0 ? 0 : request.from - 1;
     bool const holds_all =
-        request.from >= next ||
-        (!kept_.empty() && request.from >= kept_.front().entry.offset);
+        from >= next ||
+        (!kept_.empty() && from >= kept_.front().entry.offset);
     if (request.snapshot_offset != 0 || !holds_all)
         return answer_with_snapshot(request);
     peer::sync_response response;
@@ -123,7 +125,7 @@
     std::size_t bytes = 0;
     for (auto const& record : kept_)
     {
-        if (record.entry.offset < request.from)
+        if (record.entry.offset < from)
             continue;
         bytes += record.entry.data.size();
         if (response.records.size() == peer::max_sync_records ||
@@ -145,7 +147,7 @@
     if (request.snapshot_position == 0 || !snapshot_offset_)
     {
         snapshot_text_ = document::to_text(reducer_.snapshot());
-        snapshot_offset_ = reducer_.offset();
+        snapshot_offset_ = reducer_.state().next;
     }
     peer::sync_response response;
     response.nonce = request.nonce;
@@ -197,7 +199,7 @@
 membership::local_state fleet_state::announced() const
 {
     membership::local_state state;
-    state.state_offset = reducer_.offset().value_or(0);
+    state.state_offset = reducer_.state().next;
     state.chain_digest = first_bytes(reducer_.state().chain);
     state.document_version = reducer_.state().document.version;
     return state;
--- a/kumquatloom/control/fleet_state.hpp
+++ b/kumquatloom/control/fleet_state.hpp
@@ -188,7 +188,7 @@
     std::size_t since_snapshot_ = 0;
     /// Text of a snapshot for peers, and the offset that it belongs to.
     std::string snapshot_text_;
-    /// Offset of that snapshot.
+    /// Number of records in that snapshot.
     std::optional<core::log_offset> snapshot_offset_;
     /// Whether may_serve() was true before.
     bool served_ = false;
--- a/kumquatloom/membership/local_state.hpp
+++ b/kumquatloom/membership/local_state.hpp
@@ -11,7 +11,8 @@
 /// What this instance tells others about its replicated state.
 struct local_state
 {
-    /// Offset of the last reduced record.
+    /// Number of records from the start of the log that are reduced: one more
+    /// than the offset of the last one.
     core::log_offset state_offset = 0;
     /// First 8 bytes of the chain digest at that offset.
     std::uint64_t chain_digest = 0;
--- a/kumquatloom/peer/heartbeat.hpp
+++ b/kumquatloom/peer/heartbeat.hpp
@@ -44,7 +44,8 @@
     /// Time since the start of the sender's process by its own clock. It
     /// orders the heartbeats of one incarnation and shows late ones.
     std::chrono::milliseconds uptime{0};
-    /// Offset of the last reduced record of any type.
+    /// Number of records of any type from the start of the log that are
+    /// reduced.
     core::log_offset state_offset = 0;
     /// First 8 bytes of the chain digest at that offset. It detects different
     /// histories, not forgery, so 8 bytes are enough.
--- a/kumquatloom/peer/sync_request.hpp
+++ b/kumquatloom/peer/sync_request.hpp
@@ -17,9 +17,9 @@
 
     /// Random number that the response repeats.
     std::uint64_t nonce = 0;
-    /// First offset that the sender lacks.
+    /// Number, counted from 1, of the first record that the sender lacks.
     core::log_offset from = 0;
-    /// Offset of the snapshot that is being fetched; 0 if there is none.
+    /// Number of records in the snapshot that is being fetched; 0 if there is none.
     core::log_offset snapshot_offset = 0;
     /// Bytes of that snapshot that the sender has.
     std::uint64_t snapshot_position = 0;
--- a/kumquatloom/peer/sync_response.hpp
+++ b/kumquatloom/peer/sync_response.hpp
@@ -26,7 +26,7 @@
 
     /// Number of the request; 0 for a push.
     std::uint64_t nonce = 0;
-    /// Offset of the sender's last reduced record.
+    /// Number of records that the sender has reduced.
     core::log_offset state_offset = 0;
     /// First 8 bytes of the sender's chain digest.
     std::uint64_t chain_digest = 0;
@@ -36,7 +36,7 @@
     std::vector<sync_record> records;
     /// Chain digest after the last of the records.
     core::sha256_digest chain_after{};
-    /// Offset of the snapshot that the part belongs to; 0 if there is none.
+    /// Number of records in the snapshot that the part belongs to; 0 if there is none.
     core::log_offset snapshot_offset = 0;
     /// Size of the whole snapshot.
     std::uint64_t snapshot_size = 0;
--- a/stand_ins/log_stand_in.hpp
+++ b/stand_ins/log_stand_in.hpp
@@ -66,7 +66,7 @@
     /// The kept records; the first one has the offset first_.
     std::deque<std::string> records_;
     /// Offset of the first kept record.
-    std::uint64_t first_ = 1;
+    std::uint64_t first_ = 0;
     /// Appends in the current second.
     std::uint64_t appends_in_second_ = 0;
     /// Start of the current second.
