Use the directory and the platform's client, and probe sick upstreams

The entry package had a reader of the instance list of its own and told callers about every live instance. It now uses instance_list_client and entry_directory, over a cell of known instances that the list fills until membership does.

--- a/kumquatloom/entry/entries_page.cpp
+++ b/kumquatloom/entry/entries_page.cpp
@@ -1,3 +1,4 @@
+#include <kumquatloom/directory/entries_json.hpp>
 #include <kumquatloom/entry/entries_page.hpp>
 #include <kumquatloom/entry/instance_state.hpp>
 
@@ -5,7 +6,9 @@
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 
+#include <algorithm>
 #include <utility>
+#include <vector>
 
 namespace kumquatloom::entry
 {
@@ -17,69 +20,88 @@
 constexpr std::size_t tickets_with_entries = 4;
 constexpr std::size_t tickets_on_request = 32;
 
-boost::json::array issue_tickets(instance_state& state,
-                                 core::organisation_name const& organisation,
-                                 std::size_t count)
+std::vector<std::string>
+issue_tickets(instance_state& state,
+              core::organisation_name const& organisation,
+              std::size_t count)
 {
-    boost::json::array tickets;
+    std::vector<std::string> tickets;
     for (std::size_t index = 0; index < count; ++index)
-        tickets.push_back(boost::json::string(
-            to_text(state.ticket_issuer.issue(organisation))));
+        tickets.push_back(to_text(state.ticket_issuer.issue(organisation)));
     return tickets;
 }
 
-boost::json::object entry_part(std::string const& id,
-                               settings::endpoint const& address,
-                               core::failure_domain const& domain,
-                               core::region const& region)
+membership::known_instance self_of(instance_state const& state,
+                                   core::time_point now)
 {
-    return {{"instance", id},
-            {"address", settings::to_string(address)},
-            {"failure_domain", domain.value()},
-            {"region", region.value()}};
+    auto const& identity = state.settings.instance;
+    membership::known_instance self;
+    self.id = identity.id;
+    self.callers_address = settings::to_string(state.callers_address());
+    self.failure_domain = identity.failure_domain;
+    self.region = identity.region;
+    self.last_heard = now;
+    self.ready = true;
+    self.fresh = true;
+    self.leaving = state.leaving.load(std::memory_order_relaxed);
+    return self;
 }
 
-/// The instance itself, unless it is leaving, and the live ones of the list.
-boost::json::array entries_part(instance_state const& state)
+/// All instances of the fleet that are known.
+std::vector<membership::known_instance> known_fleet(instance_state const& state,
+                                                    core::time_point now)
 {
-    boost::json::array entries;
-    auto const& self = state.settings.instance;
-    if (!state.leaving.load(std::memory_order_relaxed))
-        entries.push_back(entry_part(self.id.value(),
-                                     state.callers_address(),
-                                     self.failure_domain,
-                                     self.region));
-    auto const list = state.instances.read();
-    if (!list)
-        return entries;
-    for (auto const& entry : list->entries)
-        if (!entry.leaving && entry.id != self.id.value())
-            entries.push_back(entry_part(entry.id,
-                                         {entry.host, entry.port},
-                                         entry.failure_domain,
-                                         entry.region));
-    return entries;
+    std::vector<membership::known_instance> fleet;
+    auto const others = state.others.read();
+    if (others)
+        fleet = others->instances;
+    if (others && others->listed_only)
+        for (auto& instance : fleet)
+            instance.last_heard = now;
+    fleet.push_back(self_of(state, now));
+    return fleet;
+}
+
+/// The failure domain that the query of a target names; empty if none.
+core::failure_domain asked_domain(std::string_view target)
+{
+    constexpr std::string_view key = "failure_domain=";
+    auto const question = target.find('?');
+    auto query = question == target.npos ? std::string_view()
+                                         : target.substr(question + 1);
+    while (!query.empty())
+    {
+        auto const part = query.substr(0, query.find('&'));
+        if (part.starts_with(key))
+            return core::failure_domain(std::string(part.substr(key.size())));
+        query.remove_prefix(std::min(part.size() + 1, query.size()));
+    }
+    return {};
 }
 
 } // namespace
 
 std::string entries_page(instance_state& state,
-                         core::organisation_name const& organisation)
+                         core::organisation_name const& organisation,
+                         std::string_view target,
+                         core::time_point now)
 {
+    auto const answer = state.directory.answer(
+        organisation, asked_domain(target), known_fleet(state, now), now);
     auto const document = state.document.read();
-    boost::json::object page;
-    page["version"] = document ? document->version : 0;
-    page["ttl_ms"] = state.settings.callers.entries_ttl.count();
-    page["entries"] = entries_part(state);
-    page["tickets"] = issue_tickets(state, organisation, tickets_with_entries);
-    return boost::json::serialize(page) + '\n';
+    return directory::entries_json(
+               answer,
+               document ? document->version : 0,
+               issue_tickets(state, organisation, tickets_with_entries)) +
+           '\n';
 }
 
 std::string tickets_page(instance_state& state,
                          core::organisation_name const& organisation)
 {
+    auto const tickets = issue_tickets(state, organisation, tickets_on_request);
     boost::json::object page;
-    page["tickets"] = issue_tickets(state, organisation, tickets_on_request);
+    page["tickets"] = boost::json::array(tickets.begin(), tickets.end());
     return boost::json::serialize(page) + '\n';
 }
 
--- a/kumquatloom/entry/entry_event.cpp
+++ b/kumquatloom/entry/entry_event.cpp
@@ -33,6 +33,10 @@
         return "exchange-cancelled";
     case entry_event::ticket_forwarded:
         return "ticket-forwarded";
+    case entry_event::probe_succeeded:
+        return "probe-succeeded";
+    case entry_event::probe_failed:
+        return "probe-failed";
     case entry_event::list_read:
         return "list-read";
     case entry_event::list_failed:
--- a/kumquatloom/entry/entry_event.hpp
+++ b/kumquatloom/entry/entry_event.hpp
@@ -22,6 +22,8 @@
     late_answer,
     exchange_cancelled,
     ticket_forwarded,
+    probe_succeeded,
+    probe_failed,
     list_read,
     list_failed,
     count
--- a/kumquatloom/entry/entry_instance.cpp
+++ b/kumquatloom/entry/entry_instance.cpp
@@ -6,6 +6,7 @@
 #include <kumquatloom/entry/list_poller.hpp>
 #include <kumquatloom/entry/operator_server.hpp>
 #include <kumquatloom/entry/service_control.hpp>
+#include <kumquatloom/entry/upstream_prober.hpp>
 #include <kumquatloom/entry/worker.hpp>
 
 #include <boost/asio/co_spawn.hpp>
@@ -66,6 +67,7 @@
                      control.refresh(core::clock::now());
                  })
         , control(state)
+        , prober(context, state, control)
         , tick_timer(context)
         , signals(context)
     {
@@ -111,6 +113,7 @@
     {
         asio::co_spawn(context, operators.run(), asio::detached);
         asio::co_spawn(context, poller.run(), asio::detached);
+        asio::co_spawn(context, prober.run(), asio::detached);
         asio::co_spawn(context, tick(), asio::detached);
         for (auto const& item : workers)
             item->start();
@@ -158,6 +161,7 @@
     {
         closing = true;
         tick_timer.cancel();
+        prober.stop();
         operators.close();
         poller.stop();
         signals.cancel();
@@ -199,6 +203,8 @@
     list_poller poller;
     /// Keeps the services up to date.
     service_control control;
+    /// Probes upstreams that are out of service.
+    upstream_prober prober;
     /// Paces tick().
     asio::steady_timer tick_timer;
     /// Whether the control thread ends.
--- a/kumquatloom/entry/instance_state.cpp
+++ b/kumquatloom/entry/instance_state.cpp
@@ -25,6 +25,14 @@
     return keys;
 }
 
+directory::entry_directory_settings
+directory_limits(settings::caller_settings const& callers)
+{
+    directory::entry_directory_settings limits;
+    limits.time_to_live = callers.entries_ttl;
+    return limits;
+}
+
 /// Each connection has at most one request in the instance.
 limits::load_shedder_settings shedding(settings::caller_settings const& callers)
 {
@@ -39,6 +47,9 @@
                                core::incarnation start_number)
     : settings(std::move(given))
     , incarnation(start_number)
+    , directory(directory_limits(settings.callers),
+                settings.instance.failure_domain,
+                settings.instance.region)
     , gate(header_limits(settings.callers), settings.instance.region)
     , rates({settings.instance.id, incarnation, started})
     , shedder(shedding(settings.callers))
--- a/kumquatloom/entry/instance_state.hpp
+++ b/kumquatloom/entry/instance_state.hpp
@@ -5,11 +5,12 @@
 #include <kumquatloom/core/clock.hpp>
 #include <kumquatloom/core/counter_family.hpp>
 #include <kumquatloom/core/rcu_cell.hpp>
+#include <kumquatloom/directory/entry_directory.hpp>
 #include <kumquatloom/document/document.hpp>
 #include <kumquatloom/entry/entry_event.hpp>
-#include <kumquatloom/entry/instance_list.hpp>
 #include <kumquatloom/entry/latency_histogram.hpp>
 #include <kumquatloom/entry/memory_account.hpp>
+#include <kumquatloom/entry/published_list.hpp>
 #include <kumquatloom/entry/rate_limiter.hpp>
 #include <kumquatloom/entry/service_state.hpp>
 #include <kumquatloom/limits/load_shedder.hpp>
@@ -62,7 +63,11 @@
     /// The document in force.
     core::rcu_cell<document::document> document;
     /// The last reading of the platform's list.
-    core::rcu_cell<instance_list> instances;
+    core::rcu_cell<published_list> instances;
+    /// The other entry instances of the fleet.
+    core::rcu_cell<known_instances> others;
+    /// Chooses the entry instances that callers are told to use.
+    directory::entry_directory const directory;
     /// The services of the document.
     core::rcu_cell<service_table> services;
     /// Decides which requests are served, and counts refusals.
--- a/kumquatloom/entry/list_poller.cpp
+++ b/kumquatloom/entry/list_poller.cpp
@@ -2,12 +2,6 @@
 #include <kumquatloom/entry/instance_state.hpp>
 #include <kumquatloom/entry/list_poller.hpp>
 
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/empty_body.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
-#include <boost/beast/http/write.hpp>
-
 #include <utility>
 
 namespace kumquatloom::entry
@@ -16,19 +10,37 @@
 namespace
 {
 
-/// Time for one reading of the list.
-constexpr std::chrono::seconds poll_timeout{2};
-/// Largest list: 70,000 instances of about 200 bytes.
-constexpr std::size_t list_limit_bytes = 32 * 1024 * 1024;
+/// The other entry instances of a reading.
+boost::intrusive_ptr<known_instances>
+others_of(platform::instance_list const& list, core::instance_id const& self)
+{
+    boost::intrusive_ptr<known_instances> others(new known_instances);
+    others->listed_only = true;
+    for (auto const& entry : list.entries)
+    {
+        if (entry.id == self)
+            continue;
+        membership::known_instance known;
+        known.id = entry.id;
+        known.callers_address = settings::to_string({entry.host, entry.port});
+        known.failure_domain = entry.domain;
+        known.region = entry.region;
+        known.ready = true;
+        known.fresh = true;
+        known.leaving = entry.leaving;
+        others->instances.push_back(std::move(known));
+    }
+    return others;
+}
 
 } // namespace
 
 list_poller::list_poller(asio::io_context& context,
                          instance_state& state,
                          std::function<void()> published)
-    : published_(std::move(published))
-    , state_(state)
-    , stream_(context)
+    : state_(state)
+    , published_(std::move(published))
+    , client_(state.settings.platform.instances)
     , timer_(context)
 {
 }
@@ -37,10 +49,12 @@
 {
     while (!stopped_)
     {
-        bool const success = co_await poll();
+        auto list = co_await client_.read();
         if (stopped_)
             break;
-        report(success);
+        report(list.has_value());
+        if (list)
+            publish(std::move(list.value()));
         timer_.expires_after(state_.settings.platform.poll);
         co_await timer_.async_wait(as_result);
     }
@@ -50,53 +64,14 @@
 {
     stopped_ = true;
     timer_.cancel();
-    stream_.close();
 }
 
-asio::awaitable<bool> list_poller::poll()
+void list_poller::publish(platform::instance_list list)
 {
-    auto const text = co_await fetch();
-    if (!text)
-        co_return false;
-    core::fault_list faults;
-    auto list = parse_instance_list(*text, faults);
-    if (!faults.empty())
-        co_return false;
-    state_.instances.publish(std::move(list));
+    state_.others.publish(others_of(list, state_.settings.instance.id));
+    state_.instances.publish(boost::intrusive_ptr<published_list const>(
+        new published_list(std::move(list))));
     published_();
-    co_return true;
-}
-
-asio::awaitable<std::optional<std::string>> list_poller::fetch()
-{
-    auto const& address = state_.settings.platform.instances;
-    tcp::endpoint const peer(asio::ip::make_address(address.host),
-                             address.port);
-    stream_.expires_after(poll_timeout);
-    // A connection for each poll: one that is kept can fail unnoticed.
-    auto const [connect_error] =
-        co_await stream_.async_connect(peer, as_result);
-    if (connect_error)
-        co_return std::nullopt;
-    http::request<http::empty_body> request(http::verb::get, "/instances", 11);
-    request.set(http::field::host, settings::to_string(address));
-    request.keep_alive(false);
-    auto const [write_error, written] =
-        co_await http::async_write(stream_, request, as_result);
-    beast::flat_buffer buffer;
-    http::response_parser<http::string_body> parser;
-    parser.body_limit(list_limit_bytes);
-    auto error = write_error;
-    if (!error)
-    {
-        auto const [read_error, size] =
-            co_await http::async_read(stream_, buffer, parser, as_result);
-        error = read_error;
-    }
-    stream_.close();
-    if (error || parser.get().result() != http::status::ok)
-        co_return std::nullopt;
-    co_return std::move(parser.get().body());
 }
 
 void list_poller::report(bool reachable)
--- a/kumquatloom/entry/list_poller.hpp
+++ b/kumquatloom/entry/list_poller.hpp
@@ -2,13 +2,13 @@
 #define KUMQUATLOOM_ENTRY_LIST_POLLER_HPP
 
 #include <kumquatloom/entry/http_types.hpp>
+#include <kumquatloom/platform/instance_list_client.hpp>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 #include <functional>
 #include <optional>
-#include <string>
 
 namespace kumquatloom::entry
 {
@@ -33,16 +33,15 @@
     void stop();
 
 private:
-    asio::awaitable<bool> poll();
-    asio::awaitable<std::optional<std::string>> fetch();
+    void publish(platform::instance_list list);
     void report(bool reachable);
 
-    /// Called after each successful reading.
-    std::function<void()> published_;
     /// What all threads share.
     instance_state& state_;
-    /// The connection to the platform.
-    beast::tcp_stream stream_;
+    /// Called after each successful reading.
+    std::function<void()> published_;
+    /// Reads the list.
+    platform::instance_list_client client_;
     /// Wakes the next poll.
     asio::steady_timer timer_;
     /// Whether stop() was called.
--- a/kumquatloom/entry/owner_forwarder.cpp
+++ b/kumquatloom/entry/owner_forwarder.cpp
@@ -53,22 +53,22 @@
 std::optional<tcp::endpoint>
 owner_forwarder::address_of(core::instance_id const& owner) const
 {
-    auto const list = state_.instances.read();
-    if (!list)
+    auto const others = state_.others.read();
+    if (!others)
         return std::nullopt;
-    auto const found = std::find_if(list->entries.begin(),
-                                    list->entries.end(),
-                                    [&](listed_instance const& entry)
-                                    {
-                                        return entry.id == owner.value();
-                                    });
-    if (found == list->entries.end())
+    auto const found =
+        std::find_if(others->instances.begin(),
+                     others->instances.end(),
+                     [&](membership::known_instance const& instance)
+                     {
+                         return instance.id == owner;
+                     });
+    if (found == others->instances.end())
         return std::nullopt;
-    error_code error;
-    auto const address = asio::ip::make_address(found->host, error);
-    if (error)
+    auto const address = settings::parse_endpoint(found->callers_address);
+    if (!address)
         return std::nullopt;
-    return tcp::endpoint(address, found->port);
+    return tcp::endpoint(asio::ip::make_address(address->host), address->port);
 }
 
 asio::awaitable<std::optional<http_response>> owner_forwarder::exchange(
--- a/kumquatloom/entry/proxy_handler.cpp
+++ b/kumquatloom/entry/proxy_handler.cpp
@@ -116,7 +116,10 @@
     auto const method = caller.request.method();
     if (path == entries_path && method == http::verb::get)
         return json_answer(http::status::ok,
-                           entries_page(state_, organisation));
+                           entries_page(state_,
+                                        organisation,
+                                        caller.facts().target,
+                                        core::clock::now()));
     if (path == tickets_path && method == http::verb::post)
         return json_answer(http::status::ok,
                            tickets_page(state_, organisation));
--- a/kumquatloom/entry/service_control.cpp
+++ b/kumquatloom/entry/service_control.cpp
@@ -59,7 +59,10 @@
     for (auto const& [name, settings] : document->services)
     {
         changed = changed || !services_.contains(name);
-        relist(controlled(name, settings), settings, list.get(), now);
+        relist(controlled(name, settings),
+               settings,
+               list ? &list->list : nullptr,
+               now);
     }
     if (changed)
         publish_services();
@@ -120,19 +123,18 @@
 
 void service_control::relist(controlled_service& service,
                              document::service_settings const& settings,
-                             instance_list const* list,
+                             platform::instance_list const* list,
                              core::time_point now)
 {
     std::vector<routing::listed_upstream> listed;
     if (list != nullptr)
-        if (auto const found = list->upstreams.find(service.shared->name);
-            found != list->upstreams.end())
-            for (auto const& item : found->second)
-                listed.push_back({{core::upstream_id(item.id),
+        for (auto const& item : list->upstreams)
+            if (item.service == service.shared->name)
+                listed.push_back({{item.id,
                                    item.service,
                                    item.host,
                                    item.port,
-                                   item.failure_domain,
+                                   item.domain,
                                    item.region,
                                    settings.slots},
                                   item.leaving});
--- a/kumquatloom/entry/service_control.hpp
+++ b/kumquatloom/entry/service_control.hpp
@@ -14,10 +14,14 @@
 #include <memory>
 #include <vector>
 
+namespace kumquatloom::platform
+{
+struct instance_list;
+} // namespace kumquatloom::platform
+
 namespace kumquatloom::entry
 {
 
-struct instance_list;
 struct instance_state;
 
 /// Keeps the services of the instance up to date: their upstreams from the
@@ -54,7 +58,7 @@
     void publish_services();
     void relist(controlled_service& service,
                 document::service_settings const& settings,
-                instance_list const* list,
+                platform::instance_list const* list,
                 core::time_point now);
     void evaluate(controlled_service& service, core::time_point now);
 
--- a/kumquatloom/entry/status_page.cpp
+++ b/kumquatloom/entry/status_page.cpp
@@ -20,7 +20,8 @@
     part["read"] = list != nullptr;
     if (!list)
         return part;
-    part["entries"] = list->entries.size();
+    part["entries"] = list->list.entries.size();
+    part["upstreams"] = list->list.upstreams.size();
     return part;
 }
 
--- a/unit_tests/entry/entry_fixture.cpp
+++ b/unit_tests/entry/entry_fixture.cpp
@@ -100,7 +100,7 @@
                   {"kind", "entry"},
                   {"host", "127.0.0.1"},
                   {"port", port},
-                  {"peer_port", 0},
+                  {"peer_port", 9},
                   {"failure_domain", "domain"},
                   {"region", "region"},
                   {"state", "live"}});
