Keep rate shares in the share table

The rate limiter had a table of its own that never dropped a share and could not exchange shares with peers. It now finds the base share of a request and leaves the rest to limits::share_table. The seam exit_while_draining is in place for scripts/mutations.

--- a/kumquatloom/entry/entry_instance.cpp
+++ b/kumquatloom/entry/entry_instance.cpp
@@ -1,5 +1,6 @@
 #include <kumquatloom/core/digest.hpp>
 #include <kumquatloom/core/logging.hpp>
+#include <kumquatloom/core/mutation.hpp>
 #include <kumquatloom/entry/drain_controller.hpp>
 #include <kumquatloom/entry/entry_instance.hpp>
 #include <kumquatloom/entry/instance_state.hpp>
@@ -128,7 +129,12 @@
     void finish()
     {
         for (auto const& item : workers)
-            item->finish();
+        {
+            if (core::is_mutated(core::mutation::exit_while_draining))
+                item->abort();
+            else
+                item->finish();
+        }
         close_control();
     }
 
--- a/kumquatloom/entry/rate_limiter.hpp
+++ b/kumquatloom/entry/rate_limiter.hpp
@@ -4,29 +4,19 @@
 #include <kumquatloom/admission/admitted_request.hpp>
 #include <kumquatloom/core/clock.hpp>
 #include <kumquatloom/document/document.hpp>
-#include <kumquatloom/limits/rate_share.hpp>
-
-#include <array>
-#include <atomic>
-#include <cstddef>
-#include <functional>
+#include <kumquatloom/limits/share_table.hpp>
 
 namespace kumquatloom::entry
 {
 
-/// The instance's shares of the limits for each route and organisation. A
-/// share is made when the first request needs it, and is kept: an instance
-/// sees a small part of all organisations. Requests take no lock.
+/// The instance's shares of the limits for each route and organisation.
 class rate_limiter
 {
 public:
     /// The shares of this process.
     explicit rate_limiter(limits::share_member self);
-    ~rate_limiter();
-    rate_limiter(rate_limiter const&) = delete;
-    rate_limiter& operator=(rate_limiter const&) = delete;
 
-    /// Takes the right to serve the request.
+    /// Takes the right to serve the request. Takes no lock.
     bool try_take(admission::admitted_request const& admitted,
                   document::document const& document,
                   core::time_point now);
@@ -34,49 +24,25 @@
     /// Takes over the limits of a document. One thread at a time.
     void rebase(document::document const& document, core::time_point now);
 
-    /// Ends what has expired. One thread at a time, as for `each`.
-    void refresh(core::time_point now);
-
-    /// Calls `visit` with every share.
-    void each(std::function<void(limits::rate_share&)> const& visit);
-
-private:
-    /// One share in a list that only grows.
-    struct node
+    /// Ends what has expired. One thread at a time.
+    void refresh(core::time_point now)
     {
-        node(limits::share_key const& given,
-             limits::share_member const& self,
-             limits::micro_rate base,
-             core::time_point now)
-            : key(given)
-            , share({}, given, self, base, now)
-        {
-        }
+        shares_.refresh(now);
+    }
 
-        /// What is limited.
-        limits::share_key key;
-        /// The instance's share.
-        limits::rate_share share;
-        /// The next share of the bucket.
-        node* next = nullptr;
-    };
+    /// The share without grants; 0 if no route limits the organisation.
+    static limits::micro_rate base_of(document::document const& document,
+                                      limits::share_key const& key);
 
-    /// Buckets of the hash table: enough for some thousand shares.
-    static constexpr std::size_t bucket_count = 4096;
-
-    using bucket = std::atomic<node*>;
-
-    bucket& bucket_of(limits::share_key const& key);
-    static node* find(node* first, limits::share_key const& key);
-    node& insert(bucket& place,
-                 limits::share_key const& key,
-                 limits::micro_rate base,
-                 core::time_point now);
+    /// The shares, to exchange them with peers. One thread at a time.
+    limits::share_table& shares()
+    {
+        return shares_;
+    }
 
-    /// This process.
-    limits::share_member const self_;
-    /// Heads of the lists.
-    std::array<bucket, bucket_count> buckets_{};
+private:
+    /// The shares.
+    limits::share_table shares_;
 };
 
 } // namespace kumquatloom::entry
--- a/kumquatloom/entry/slot_queue.cpp
+++ b/kumquatloom/entry/slot_queue.cpp
@@ -29,7 +29,7 @@
 {
     if (auto now = take_now(wanted))
         co_return std::move(*now);
-    co_return co_await wait(std::move(wanted));
+    co_return co_await wait(wanted);
 }
 
 std::optional<slot_queue::result>
--- a/kumquatloom/entry/upstream_exchange.cpp
+++ b/kumquatloom/entry/upstream_exchange.cpp
@@ -1,6 +1,5 @@
 #include <kumquatloom/admission/header_filter.hpp>
 #include <kumquatloom/core/digest.hpp>
-#include <kumquatloom/core/mutation.hpp>
 #include <kumquatloom/entry/call.hpp>
 #include <kumquatloom/entry/header_views.hpp>
 #include <kumquatloom/entry/instance_state.hpp>
@@ -96,13 +95,7 @@
     parser_type parser;
     bool const complete = co_await read(connection, parser);
     result_.latency = core::clock::now() - sent_at_;
-    if (!complete)
-    {
-        if (core::is_mutated(core::mutation::reuse_connection_after_timeout))
-            lease.give_back();
-        co_return;
-    }
-    if (!accept(parser))
+    if (!complete || !accept(parser))
         co_return;
     // A connection is kept only after a whole exchange without leftovers.
     if (parser.keep_alive() && connection.quiet())
