--- a/kumquatloom/entry/entry_instance.cpp
+++ b/kumquatloom/entry/entry_instance.cpp
@@ -139,7 +139,7 @@
     }
 
     /// Puts a document in force.
-    void publish(boost::intrusive_ptr<document::document const> next)
+    void publish(boost::intrusive_ptr<document::document const> const& next)
     {
         auto const now = core::clock::now();
         state.document.publish(next);
@@ -230,9 +230,8 @@
     auto const& state = parts_->state;
     core::log_info("listening",
                    {{"instance", state.settings.instance.id.value()},
-                    {"callers", to_string(state.callers_address())},
-                    {"operators", to_string(state.operators_address())},
-                    {"peers", to_string(state.settings.listen.peers)}});
+                    {"callers", std::to_string(callers_port())},
+                    {"operators", std::to_string(operators_port())}});
 }
 
 entry_instance::~entry_instance() = default;
