--- a/kumquatloom/entry/entry_instance.cpp
+++ b/kumquatloom/entry/entry_instance.cpp
@@ -1,5 +1,6 @@
 #include <kumquatloom/core/digest.hpp>
 #include <kumquatloom/core/logging.hpp>
+#include <kumquatloom/core/mutation.hpp>
 #include <kumquatloom/entry/drain_controller.hpp>
 #include <kumquatloom/entry/entry_instance.hpp>
 #include <kumquatloom/entry/fleet_link.hpp>
@@ -7,6 +8,7 @@
 #include <kumquatloom/entry/list_poller.hpp>
 #include <kumquatloom/entry/operator_server.hpp>
 #include <kumquatloom/entry/service_control.hpp>
+#include <kumquatloom/entry/upstream_prober.hpp>
 #include <kumquatloom/entry/worker.hpp>
 
 #include <boost/asio/co_spawn.hpp>
@@ -77,6 +79,7 @@
                          fleet->list_read();
                  })
         , control(state)
+        , prober(context, state, control)
         , tick_timer(context)
         , signals(context)
     {
@@ -140,6 +143,7 @@
     {
         asio::co_spawn(context, operators.run(), asio::detached);
         asio::co_spawn(context, poller.run(), asio::detached);
+        asio::co_spawn(context, prober.run(), asio::detached);
         asio::co_spawn(context, tick(), asio::detached);
         for (auto const& item : workers)
             item->start();
@@ -154,12 +158,17 @@
     void finish()
     {
         for (auto const& item : workers)
-            item->finish();
+        {
+            if (core::is_mutated(core::mutation::exit_while_draining))
+                item->abort();
+            else
+                item->finish();
+        }
         close_control();
     }
 
     /// Puts a document in force.
-    void publish(boost::intrusive_ptr<document::document const> next)
+    void publish(boost::intrusive_ptr<document::document const> const& next)
     {
         auto const now = core::clock::now();
         state.document.publish(next);
@@ -191,6 +200,7 @@
         tick_timer.cancel();
         if (fleet)
             fleet->plane().stop();
+        prober.stop();
         operators.close();
         poller.stop();
         signals.cancel();
@@ -234,6 +244,8 @@
     service_control control;
     /// Connects with the fleet, if there is one.
     std::unique_ptr<fleet_link> fleet;
+    /// Probes upstreams that are out of service.
+    upstream_prober prober;
     /// Paces tick().
     asio::steady_timer tick_timer;
     /// Whether the control thread ends.
--- a/kumquatloom/entry/fleet_link.cpp
+++ b/kumquatloom/entry/fleet_link.cpp
@@ -1,7 +1,7 @@
 #include <kumquatloom/entry/evidence_payload.hpp>
 #include <kumquatloom/entry/fleet_link.hpp>
-#include <kumquatloom/entry/fleet_view.hpp>
 #include <kumquatloom/entry/instance_state.hpp>
+#include <kumquatloom/entry/published_list.hpp>
 #include <kumquatloom/entry/service_control.hpp>
 #include <kumquatloom/entry/service_state.hpp>
 #include <kumquatloom/entry/share_payload.hpp>
@@ -35,13 +35,13 @@
 {
     auto const list = state_.instances.read();
     std::vector<membership::listed_instance> entries;
-    for (auto const& entry : list->entries)
+    for (auto const& entry : list->list.entries)
     {
-        if (entry.id == state_.settings.instance.id.value())
+        if (entry.id == state_.settings.instance.id)
             continue;
         settings::endpoint const callers{entry.host, entry.port};
-        entries.push_back({core::instance_id(entry.id),
-                           entry.failure_domain,
+        entries.push_back({entry.id,
+                           entry.domain,
                            entry.region,
                            to_string(callers),
                            {entry.host, entry.peer_port},
@@ -69,7 +69,7 @@
     };
     hooks.instances_known = [this](auto instances)
     {
-        boost::intrusive_ptr<fleet_view> view(new fleet_view);
+        boost::intrusive_ptr<known_instances> view(new known_instances);
         view->instances = std::move(instances);
         state_.fleet.publish(std::move(view));
     };
@@ -174,7 +174,7 @@
 std::vector<std::string> fleet_link::shares_wanted(core::time_point now)
 {
     std::vector<std::string> payloads;
-    for (auto const& request : state_.rates.ask(now))
+    for (auto const& request : state_.rates.shares().ask(now))
         payloads.push_back(
             peer::encode_payload(share_request_payload{request}));
     return payloads;
@@ -187,7 +187,10 @@
     auto const document = state_.document.read();
     if (!request || !document)
         return std::nullopt;
-    auto const grant = state_.rates.answer(request->message, *document, now);
+    auto const grant = state_.rates.shares().answer(
+        request->message,
+        rate_limiter::base_of(*document, request->message.key),
+        now);
     if (!grant)
         return std::nullopt;
     return peer::encode_payload(share_grant_payload{*grant});
@@ -196,7 +199,7 @@
 void fleet_link::share_granted(std::string_view payload, core::time_point now)
 {
     if (auto const grant = peer::decode_payload<share_grant_payload>(payload))
-        state_.rates.accept(grant->message, now);
+        state_.rates.shares().accept(grant->message, now);
 }
 
 void fleet_link::propose(core::time_point now)
