--- a/kumquatloom/platform/log_client.cpp
+++ b/kumquatloom/platform/log_client.cpp
@@ -31,6 +31,7 @@
 constexpr core::log_offset beyond_every_log = 9007199254740991;
 
 constexpr unsigned status_ok = 200;
+constexpr unsigned status_created = 201;
 constexpr unsigned status_gone = 410;
 constexpr unsigned status_too_many = 429;
 constexpr unsigned status_unavailable = 503;
@@ -173,7 +174,7 @@
             ? append_error::unreachable
             : append_error::unknown;
     auto const status = response.value().status;
-    if (status == status_ok)
+    if (status == status_ok || status == status_created)
     {
         // Without an offset the append cannot be confirmed.
         auto const offset = parse_appended(response.value().body);
--- a/unit_tests/platform/log_client_test.cpp
+++ b/unit_tests/platform/log_client_test.cpp
@@ -66,6 +66,13 @@
         CHECK(request.body == R"({"data":"a \"text\""})");
     }
 
+    SECTION("and a status for a created record is a success")
+    {
+        test_server server(always({201, R"({"offset":7})", false, {}}));
+        log_client const client(server.address());
+        CHECK(run_blocking(client.append("x")).value() == 7);
+    }
+
     SECTION("and a refusal says that it was not appended")
     {
         CHECK(error_of_append({429, "", false, {}}) ==
