--- a/performance_tests/document/document_reducer_benchmark.cpp
+++ b/performance_tests/document/document_reducer_benchmark.cpp
@@ -50,9 +50,9 @@
     text += R"(},"routes":[)";
     for (std::size_t i = 0; i < routes_per_section; ++i)
     {
-        text += (i == 0 ? "" : ",") + std::string(R"({"prefix":"/)") + name +
-                "/route-" + std::to_string(i) + R"(","service":")" + name +
-                R"(","organisations":[)";
+        text += i == 0 ? "" : ",";
+        text += R"({"prefix":"/)" + name + "/route-" + std::to_string(i);
+        text += R"(","service":")" + name + R"(","organisations":[)";
         bool first = true;
         for (std::size_t k = i; k < organisations_per_section;
              k += routes_per_section)
