Test a pause during which nothing was received

With the exclusion of pauses removed on a trial copy, the existing test still passed, because the buffered datagrams refreshed every member first. The new section fails without the exclusion and passes with it.

[peer] and [directory] pass under the asan preset (12 test cases), with the fuzzed decoders.

--- a/unit_tests/membership/cell_protocol_test.cpp
+++ b/unit_tests/membership/cell_protocol_test.cpp
@@ -164,6 +164,21 @@
         fleet.run(settle);
         REQUIRE(fleet.differences() == "");
     }
+    SECTION("nor does one that received nothing during its pause")
+    {
+        fleet.pause(5);
+        fleet.run(10s);
+        fleet.instances[5].buffered.clear();
+        fleet.resume(5);
+        fleet.run(1s,
+                  [&fleet]
+                  {
+                      for (std::size_t i = 0; i < 24; ++i)
+                          if (i != 5)
+                              REQUIRE(fleet.state_of(5, i) ==
+                                      member_state::live);
+                  });
+    }
     SECTION("a process with an outdated incarnation learns the newer one")
     {
         auto const outdated = fleet.restart(3, -500);
