Readmit gray upstreams and test the reuse of released slots

Probes are now counted from the last change of standing. Good attempts of an observer above its cap use up the excess first; before, an upstream that went on failing lost its score.

--- a/kumquatloom/health/avoidance.cpp
+++ b/kumquatloom/health/avoidance.cpp
@@ -52,8 +52,6 @@
 {
     last_probe_ = now;
     probes_ok_ = ok ? probes_ok_ + 1 : 0;
-    if (probes_ok_ == 1)
-        probes_ok_since_ = now;
 }
 
 bool avoidance::advance(core::duration recovery, core::time_point now)
@@ -72,11 +70,9 @@
     return true;
 }
 
-bool avoidance::probes_confirm(core::time_point since,
-                               core::time_point now) const
+bool avoidance::probes_confirm(core::time_point now) const
 {
-    return probes_ok_ >= confirming_probes && probes_ok_since_ >= since &&
-           now - last_probe_ < probe_age;
+    return probes_ok_ >= confirming_probes && now - last_probe_ < probe_age;
 }
 
 double avoidance::weight(core::duration recovery, core::time_point now) const
@@ -93,6 +89,7 @@
 {
     standing_ = standing;
     since_ = now;
+    probes_ok_ = 0;
 }
 
 } // namespace kumquatloom::health
--- a/kumquatloom/health/avoidance.hpp
+++ b/kumquatloom/health/avoidance.hpp
@@ -37,8 +37,8 @@
     }
 
     /// Whether probes confirm that an ejected upstream may come back: several
-    /// in a row succeeded since `since`.
-    bool probes_confirm(core::time_point since, core::time_point now) const;
+    /// in a row succeeded since the ejection.
+    bool probes_confirm(core::time_point now) const;
 
     /// Share of its usual work that it should get, 0 to 1.
     double weight(core::duration recovery, core::time_point now) const;
@@ -55,10 +55,10 @@
     core::duration length_{};
     /// When the last avoidance or ejection ended.
     core::time_point ended_;
-    /// Successful probes since the last failed one.
+    /// Successful probes since the last failed one and the last change of
+    /// standing. Gray failures pass every probe, so that a row of successes
+    /// may have begun long before.
     unsigned probes_ok_ = 0;
-    /// When the first of them succeeded.
-    core::time_point probes_ok_since_;
     /// When the last probe was reported.
     core::time_point last_probe_;
 };
--- a/kumquatloom/health/ejection_proposer.cpp
+++ b/kumquatloom/health/ejection_proposer.cpp
@@ -107,7 +107,7 @@
         bool const is_gone = missing && now - *missing >= ejection_lease;
         bool const is_well = !missing &&
                              now - since >= hold_time(slot.upstream) &&
-                             monitor.probes_confirm(slot.upstream, since, now);
+                             monitor.probes_confirm(slot.upstream, now);
         if (is_gone || is_well)
             return readmit_record{view.record_id,
                                   service_,
--- a/kumquatloom/health/health_monitor.cpp
+++ b/kumquatloom/health/health_monitor.cpp
@@ -314,11 +314,10 @@
 }
 
 bool health_monitor::probes_confirm(core::upstream_id const& upstream,
-                                    core::time_point since,
                                     core::time_point now) const
 {
     auto const* const state = find(upstream);
-    return state != nullptr && state->course.probes_confirm(since, now);
+    return state != nullptr && state->course.probes_confirm(now);
 }
 
 std::vector<suspicion> health_monitor::suspicions(core::time_point now) const
--- a/kumquatloom/health/health_monitor.hpp
+++ b/kumquatloom/health/health_monitor.hpp
@@ -86,10 +86,8 @@
     /// sick seen from this failure domain too. Counts as one trial if so.
     bool take_trial(core::upstream_id const& upstream, core::time_point now);
 
-    /// Whether probes confirm that an upstream may come back that was ejected
-    /// at `since`.
+    /// Whether probes confirm that an ejected upstream may come back.
     bool probes_confirm(core::upstream_id const& upstream,
-                        core::time_point since,
                         core::time_point now) const;
 
     /// Upstreams that may be ejected as far as evidence goes, worst first.
--- a/kumquatloom/health/observer_window.hpp
+++ b/kumquatloom/health/observer_window.hpp
@@ -36,10 +36,13 @@
 
     /// The part of a weight that counts beside other observers. An observer
     /// whose score has reached `cap` has said all that it can: what goes on
-    /// failing for it alone must not outweigh what the others see.
+    /// failing for it alone must not outweigh what the others see. Its good
+    /// attempts use up the score above the cap first.
     double counted_part(double weight, double cap) const
     {
-        return std::min(weight, std::max(0.0, cap - score_));
+        if (weight > 0)
+            return std::min(weight, std::max(0.0, cap - score_));
+        return std::min(0.0, weight + std::max(0.0, score_ - cap));
     }
 
     /// Adds attempts that weigh `weight`, seen at `now`.
--- a/unit_tests/health/ejection_union_test.cpp
+++ b/unit_tests/health/ejection_union_test.cpp
@@ -81,10 +81,12 @@
             reader.fresh_as_of = now;
     }
 
-    /// All observers blame one upstream; messages may come late or twice.
-    void blame(unsigned upstream)
+    /// All observers blame one upstream and find the others well, except for
+    /// a second one that they do not try.
+    void blame(unsigned upstream, unsigned untried)
     {
         core::upstream_id const id(std::to_string(upstream));
+        core::upstream_id const skipped(std::to_string(untried));
         for (auto const& one : instances)
             for (unsigned i = 0; i < 8 * upstreams; ++i)
             {
@@ -92,7 +94,8 @@
                 auto const result = tried == id
                                         ? health::attempt_result::upstream_error
                                         : health::attempt_result::success;
-                one->monitor.record({tried, result, 1ms, 1s}, now);
+                if (tried != skipped)
+                    one->monitor.record({tried, result, 1ms, 1s}, now);
             }
         for (auto const& from : instances)
             messages.push_back(from->monitor.export_evidence(now));
@@ -177,35 +180,45 @@
         [&]
         {
             fleet all;
-            for (int step = 0; step < 600; ++step)
+            unsigned second = 0;
+            for (unsigned step = 0; step < 900; ++step)
             {
                 all.now += std::chrono::milliseconds(
-                    *rc::gen::element(50, 100, 300, 1200));
+                    *rc::gen::element(50, 100, 100, 800));
+                // The two writers read the log more often than the others.
                 auto& one =
-                    *all.instances[*rc::gen::inRange<std::size_t>(0, 4)];
+                    *all.instances[*rc::gen::weightedElement<std::size_t>(
+                        {{4, 0}, {4, 1}, {1, 2}, {1, 3}})];
                 switch (*rc::gen::inRange(0, 10))
                 {
                 case 0:
-                    all.blame(*rc::gen::inRange(0U, 3U));
+                    // Two upstreams at a time are sick; later two others.
+                    second = *rc::gen::inRange(0U, 2U);
+                    all.blame((step / 150 + second) % upstreams,
+                              (step / 150 + 1 - second) % upstreams);
+                    for (std::size_t age = 4; age-- > 0;)
+                        all.deliver(age, *rc::gen::inRange<std::size_t>(0, 4));
                     break;
                 case 1:
                 case 2:
                 case 3:
-                case 4:
                     all.deliver(*rc::gen::inRange<std::size_t>(0, 12),
                                 *rc::gen::inRange<std::size_t>(0, 2));
                     break;
-                case 5:
+                case 4:
                     all.read(one, false);
                     break;
+                case 5:
                 case 6:
-                case 7:
                     all.read(one, true);
                     break;
                 default:
-                    // Two instances take themselves for the writer.
+                    // Two instances take themselves for the writer. Most of
+                    // the time they have just read the log.
                     auto& writer =
                         *all.instances[*rc::gen::inRange<std::size_t>(0, 2)];
+                    if (*rc::gen::inRange(0, 3) > 0)
+                        all.read(writer, true);
                     for (unsigned i = 0; i < upstreams; ++i)
                         writer.monitor.record_probe(
                             core::upstream_id(std::to_string(i)),
@@ -226,7 +239,56 @@
                 }
         });
     // The property would hold without any ejection, and prove nothing then.
-    INFO(ejections << " ejections");
+    INFO(ejections << " ejections, " << reclaimed << " into released slots");
     CHECK(ejections > 0);
     CHECK(reclaimed > 0);
 }
+
+// Guards against a writer that claims a released slot while a cut-off reader
+// still honours the ejection that the slot held before.
+TEST_CASE("a writer waits one lease before it claims a released slot")
+{
+    fleet all;
+    auto& writer = *all.instances[0];
+    auto& reader = *all.instances[2];
+    core::time_point released_at;
+    bool reader_is_cut_off = false;
+    std::size_t reclaimed = 0;
+    for (unsigned step = 0; step < 400 && reclaimed == 0; ++step)
+    {
+        all.now += 250ms;
+        // Both slots fill; then other upstreams are sick while the first ones
+        // are readmitted.
+        unsigned const first = step < 40 ? 0 : 4;
+        all.blame(first + step % 2, first + (step + 1) % 2);
+        for (std::size_t age = 4; age-- > 0;)
+            all.deliver(age, 0);
+        for (unsigned i = 0; i < upstreams; ++i)
+            writer.monitor.record_probe(
+                core::upstream_id(std::to_string(i)), true, all.now);
+        all.read(writer, true);
+        if (!reader_is_cut_off)
+            all.read(reader, true);
+        writer.monitor.tick(all.now);
+        std::size_t const before = all.log.size();
+        all.propose(writer);
+        CHECK(all.union_of_ejections().size() <= budget);
+        if (all.log.size() == before)
+            continue;
+        if (std::holds_alternative<health::readmit_record>(all.log.back()))
+        {
+            // The reader misses the release, and the writer reads it next.
+            reader_is_cut_off = true;
+            if (released_at == core::time_point{})
+                released_at = all.now + 250ms;
+        }
+        else if (reader_is_cut_off)
+        {
+            ++reclaimed;
+            CHECK(all.now - released_at >= health::ejection_lease);
+            all.read(writer, true);
+            CHECK(all.union_of_ejections().size() <= budget);
+        }
+    }
+    CHECK(reclaimed == 1);
+}
