Tell the membership about failed reads of the log; fix a double free in a stand-in

Cause: g++ 12 destroys a by-value argument twice when another argument of the same call is awaited; the fault matrix crashed in call_once. Change: the executor is awaited in a statement of its own.

--- a/kumquatloom/control/control_plane.cpp
+++ b/kumquatloom/control/control_plane.cpp
@@ -623,6 +623,7 @@
             if (page.error() != platform::read_error::retention_cut)
             {
                 state.log_failed();
+                protocol->log_failed(core::clock::now());
                 co_return false;
             }
             auto const range = co_await log.read_range();
--- a/stand_ins/http_caller.cpp
+++ b/stand_ins/http_caller.cpp
@@ -83,7 +83,10 @@
           http_request request,
           std::chrono::milliseconds timeout)
 {
-    http_caller caller(co_await asio::this_coro::executor, std::move(server));
+    // A statement of its own, since g++ 12 destroys a by-value argument twice
+    // when another argument of the call is awaited.
+    auto const executor = co_await asio::this_coro::executor;
+    http_caller caller(executor, std::move(server));
     co_return co_await caller.call(std::move(request), timeout);
 }
 
