--- a/kumquatloom/entry/instance_state.hpp
+++ b/kumquatloom/entry/instance_state.hpp
@@ -5,9 +5,9 @@
 #include <kumquatloom/core/clock.hpp>
 #include <kumquatloom/core/counter_family.hpp>
 #include <kumquatloom/core/rcu_cell.hpp>
-#include <kumquatloom/directory/entry_directory.hpp>
 #include <kumquatloom/document/document.hpp>
 #include <kumquatloom/entry/entry_event.hpp>
+#include <kumquatloom/entry/fleet_view.hpp>
 #include <kumquatloom/entry/latency_histogram.hpp>
 #include <kumquatloom/entry/memory_account.hpp>
 #include <kumquatloom/entry/published_list.hpp>
@@ -48,6 +48,12 @@
         return {settings.listen.callers.host, callers_port};
     }
 
+    /// The peers' address in use.
+    settings::endpoint peers_address() const
+    {
+        return {settings.listen.peers.host, peers_port};
+    }
+
     /// The operators' address in use.
     settings::endpoint operators_address() const
     {
@@ -64,12 +70,10 @@
     core::rcu_cell<document::document> document;
     /// The last reading of the platform's list.
     core::rcu_cell<published_list> instances;
-    /// The other entry instances of the fleet.
-    core::rcu_cell<known_instances> others;
-    /// Chooses the entry instances that callers are told to use.
-    directory::entry_directory const directory;
     /// The services of the document.
     core::rcu_cell<service_table> services;
+    /// The fleet's instances; null outside of a fleet.
+    core::rcu_cell<fleet_view> fleet;
     /// Decides which requests are served, and counts refusals.
     admission::admission_gate gate;
     /// Shares of the rate limits.
@@ -114,6 +118,11 @@
     std::atomic<std::uint16_t> callers_port{0};
     /// The operators' port in use.
     std::atomic<std::uint16_t> operators_port{0};
+    /// The peers' port in use; 0 outside of a fleet.
+    std::atomic<std::uint16_t> peers_port{0};
+    /// Whether the instance knows enough to serve. Outside of a fleet the
+    /// document that it was given is enough.
+    std::atomic<bool> ready{true};
 };
 
 } // namespace kumquatloom::entry
--- a/kumquatloom/entry/list_poller.cpp
+++ b/kumquatloom/entry/list_poller.cpp
@@ -7,34 +7,6 @@
 namespace kumquatloom::entry
 {
 
-namespace
-{
-
-/// The other entry instances of a reading.
-boost::intrusive_ptr<known_instances>
-others_of(platform::instance_list const& list, core::instance_id const& self)
-{
-    boost::intrusive_ptr<known_instances> others(new known_instances);
-    others->listed_only = true;
-    for (auto const& entry : list.entries)
-    {
-        if (entry.id == self)
-            continue;
-        membership::known_instance known;
-        known.id = entry.id;
-        known.callers_address = settings::to_string({entry.host, entry.port});
-        known.failure_domain = entry.domain;
-        known.region = entry.region;
-        known.ready = true;
-        known.fresh = true;
-        known.leaving = entry.leaving;
-        others->instances.push_back(std::move(known));
-    }
-    return others;
-}
-
-} // namespace
-
 list_poller::list_poller(asio::io_context& context,
                          instance_state& state,
                          std::function<void()> published)
@@ -68,7 +40,6 @@
 
 void list_poller::publish(platform::instance_list list)
 {
-    state_.others.publish(others_of(list, state_.settings.instance.id));
     state_.instances.publish(boost::intrusive_ptr<published_list const>(
         new published_list(std::move(list))));
     published_();
--- a/kumquatloom/entry/owner_forwarder.cpp
+++ b/kumquatloom/entry/owner_forwarder.cpp
@@ -53,22 +53,26 @@
 std::optional<tcp::endpoint>
 owner_forwarder::address_of(core::instance_id const& owner) const
 {
-    auto const others = state_.others.read();
-    if (!others)
-        return std::nullopt;
-    auto const found =
-        std::find_if(others->instances.begin(),
-                     others->instances.end(),
-                     [&](membership::known_instance const& instance)
-                     {
-                         return instance.id == owner;
-                     });
-    if (found == others->instances.end())
-        return std::nullopt;
-    auto const address = settings::parse_endpoint(found->callers_address);
+    std::optional<settings::endpoint> address;
+    if (auto const fleet = state_.fleet.read())
+    {
+        for (auto const& instance : fleet->instances)
+            if (instance.id == owner)
+                address = settings::parse_endpoint(instance.callers_address);
+    }
+    else if (auto const list = state_.instances.read())
+    {
+        for (auto const& entry : list->list.entries)
+            if (entry.id == owner)
+                address = settings::endpoint{entry.host, entry.port};
+    }
     if (!address)
         return std::nullopt;
-    return tcp::endpoint(asio::ip::make_address(address->host), address->port);
+    error_code error;
+    auto const host = asio::ip::make_address(address->host, error);
+    if (error)
+        return std::nullopt;
+    return tcp::endpoint(host, address->port);
 }
 
 asio::awaitable<std::optional<http_response>> owner_forwarder::exchange(
