--- a/kumquatloom/entry/entry_instance.cpp
+++ b/kumquatloom/entry/entry_instance.cpp
@@ -198,9 +198,9 @@
     {
         closing = true;
         tick_timer.cancel();
+        prober.stop();
         if (fleet)
             fleet->plane().stop();
-        prober.stop();
         operators.close();
         poller.stop();
         signals.cancel();
@@ -242,10 +242,10 @@
     list_poller poller;
     /// Keeps the services up to date.
     service_control control;
-    /// Connects with the fleet, if there is one.
-    std::unique_ptr<fleet_link> fleet;
     /// Probes upstreams that are out of service.
     upstream_prober prober;
+    /// Connects with the fleet, if there is one.
+    std::unique_ptr<fleet_link> fleet;
     /// Paces tick().
     asio::steady_timer tick_timer;
     /// Whether the control thread ends.
--- a/kumquatloom/entry/instance_state.hpp
+++ b/kumquatloom/entry/instance_state.hpp
@@ -5,9 +5,9 @@
 #include <kumquatloom/core/clock.hpp>
 #include <kumquatloom/core/counter_family.hpp>
 #include <kumquatloom/core/rcu_cell.hpp>
-#include <kumquatloom/directory/entry_directory.hpp>
 #include <kumquatloom/document/document.hpp>
 #include <kumquatloom/entry/entry_event.hpp>
+#include <kumquatloom/entry/fleet_view.hpp>
 #include <kumquatloom/entry/latency_histogram.hpp>
 #include <kumquatloom/entry/memory_account.hpp>
 #include <kumquatloom/entry/published_list.hpp>
@@ -70,15 +70,10 @@
     core::rcu_cell<document::document> document;
     /// The last reading of the platform's list.
     core::rcu_cell<published_list> instances;
-    /// The other entry instances of the fleet.
-    core::rcu_cell<known_instances> others;
-    /// Chooses the entry instances that callers are told to use.
-    directory::entry_directory const directory;
     /// The services of the document.
     core::rcu_cell<service_table> services;
-    /// What the membership knows about all instances of the fleet, this one
-    /// included; null outside of a fleet.
-    core::rcu_cell<known_instances> fleet;
+    /// The fleet's instances; null outside of a fleet.
+    core::rcu_cell<fleet_view> fleet;
     /// Decides which requests are served, and counts refusals.
     admission::admission_gate gate;
     /// Shares of the rate limits.
--- a/kumquatloom/entry/rate_limiter.cpp
+++ b/kumquatloom/entry/rate_limiter.cpp
@@ -21,20 +21,19 @@
     return text == prefix;
 }
 
-bool limits_key(document::route_settings const& route,
-                limits::share_key const& key)
+/// The share without grants; 0 if no route limits the organisation any more.
+limits::micro_rate base_of(document::document const& document,
+                           limits::share_key const& key)
 {
-    return route.limit_per_s != 0 && is_prefix_of(route, key.prefix) &&
-           std::find(route.organisations.begin(),
-                     route.organisations.end(),
-                     key.organisation) != route.organisations.end();
-}
-
-limits::micro_rate base_of_route(document::document const& document,
-                                 document::route_settings const& route)
-{
-    return limits::base_share(
-        route.limit_per_s, document.expected_entry_instances, route.regions);
+    for (auto const& route : document.routes)
+        if (route.limit_per_s != 0 && is_prefix_of(route, key.prefix) &&
+            std::find(route.organisations.begin(),
+                      route.organisations.end(),
+                      key.organisation) != route.organisations.end())
+            return limits::base_share(route.limit_per_s,
+                                      document.expected_entry_instances,
+                                      route.regions);
+    return 0;
 }
 
 } // namespace
@@ -52,14 +51,7 @@
         return true;
     limits::share_key const key{std::string(admitted.route.prefix),
                                 admitted.organisation};
-    // The route has the same number in the document, unless a newer one has
-    // come into force since the request was admitted.
-    auto const index = admitted.route.index;
-    bool const same = index < document.routes.size() &&
-                      limits_key(document.routes[index], key);
-    auto const base = same ? base_of_route(document, document.routes[index])
-                           : base_of(document, key);
-    return shares_.try_take(key, base, now);
+    return shares_.try_take(key, base_of(document, key), now);
 }
 
 void rate_limiter::rebase(document::document const& document,
@@ -73,13 +65,28 @@
         now);
 }
 
-limits::micro_rate rate_limiter::base_of(document::document const& document,
-                                         limits::share_key const& key)
+void rate_limiter::refresh(core::time_point now)
 {
-    for (auto const& route : document.routes)
-        if (limits_key(route, key))
-            return base_of_route(document, route);
-    return 0;
+    shares_.refresh(now);
+}
+
+std::vector<limits::share_request> rate_limiter::ask(core::time_point now)
+{
+    return shares_.ask(now);
+}
+
+std::optional<limits::share_grant>
+rate_limiter::answer(limits::share_request const& request,
+                     document::document const& document,
+                     core::time_point now)
+{
+    return shares_.answer(request, base_of(document, request.key), now);
+}
+
+void rate_limiter::accept(limits::share_grant const& grant,
+                          core::time_point now)
+{
+    shares_.accept(grant, now);
 }
 
 } // namespace kumquatloom::entry
--- a/kumquatloom/entry/rate_limiter.hpp
+++ b/kumquatloom/entry/rate_limiter.hpp
@@ -4,41 +4,46 @@
 #include <kumquatloom/admission/admitted_request.hpp>
 #include <kumquatloom/core/clock.hpp>
 #include <kumquatloom/document/document.hpp>
+#include <kumquatloom/limits/share_messages.hpp>
 #include <kumquatloom/limits/share_table.hpp>
 
+#include <optional>
+#include <vector>
+
 namespace kumquatloom::entry
 {
 
-/// The instance's shares of the limits for each route and organisation.
+/// The instance's shares of the limits for each route and organisation, with
+/// the base shares that the document gives. Requests take no lock; one thread
+/// at a time calls the rest.
 class rate_limiter
 {
 public:
     /// The shares of this process.
     explicit rate_limiter(limits::share_member self);
 
-    /// Takes the right to serve the request. Takes no lock.
+    /// Takes the right to serve the request.
     bool try_take(admission::admitted_request const& admitted,
                   document::document const& document,
                   core::time_point now);
 
-    /// Takes over the limits of a document. One thread at a time.
+    /// Takes over the limits of a document.
     void rebase(document::document const& document, core::time_point now);
 
-    /// Ends what has expired. One thread at a time.
-    void refresh(core::time_point now)
-    {
-        shares_.refresh(now);
-    }
-
-    /// The share without grants; 0 if no route limits the organisation.
-    static limits::micro_rate base_of(document::document const& document,
-                                      limits::share_key const& key);
-
-    /// The shares, to exchange them with peers. One thread at a time.
-    limits::share_table& shares()
-    {
-        return shares_;
-    }
+    /// Ends what has expired.
+    void refresh(core::time_point now);
+
+    /// Requests for shares that are too small, to send to peers.
+    std::vector<limits::share_request> ask(core::time_point now);
+
+    /// Answers a peer's request.
+    std::optional<limits::share_grant>
+    answer(limits::share_request const& request,
+           document::document const& document,
+           core::time_point now);
+
+    /// Uses a peer's grant.
+    void accept(limits::share_grant const& grant, core::time_point now);
 
 private:
     /// The shares.
