--- a/kumquatloom/control/control_plane.cpp
+++ b/kumquatloom/control/control_plane.cpp
@@ -480,8 +480,7 @@
             }
             state.start().told_of(id);
             if (member.heard() && member.state_offset != 0)
-                state.start().heard_from(
-                    id, member.ready, member.state_offset);
+                state.start().heard_from(id, member.ready, member.state_offset);
         }
         bool const next =
             state.may_serve() && state.active_document() != nullptr;
@@ -763,7 +762,7 @@
 }
 
 asio::awaitable<document::edit_report>
-control_plane::append_edit(document::edit_record edit)
+control_plane::append_edit(document::edit_record const& edit)
 {
     auto& parts = *implementation_;
     document::edit_report report;
--- a/kumquatloom/control/control_plane.hpp
+++ b/kumquatloom/control/control_plane.hpp
@@ -63,7 +63,7 @@
 
     /// Appends an operator's edit and waits until it is reduced.
     boost::asio::awaitable<document::edit_report>
-    append_edit(document::edit_record edit);
+    append_edit(document::edit_record const& edit);
 
     /// The document, or one part of it, as JSON text; empty if there is none.
     std::string document_text(std::string_view part) const;
--- a/kumquatloom/control/fleet_state.cpp
+++ b/kumquatloom/control/fleet_state.cpp
@@ -115,8 +115,7 @@
     auto const next = reducer_.state().next;
     auto const from = request.from == 0 ? 0 : request.from - 1;
     bool const holds_all =
-        from >= next ||
-        (!kept_.empty() && from >= kept_.front().entry.offset);
+        from >= next || (!kept_.empty() && from >= kept_.front().entry.offset);
     if (request.snapshot_offset != 0 || !holds_all)
         return answer_with_snapshot(request);
     peer::sync_response response;
--- a/kumquatloom/peer/sync_request.hpp
+++ b/kumquatloom/peer/sync_request.hpp
@@ -19,7 +19,8 @@
     std::uint64_t nonce = 0;
     /// Number, counted from 1, of the first record that the sender lacks.
     core::log_offset from = 0;
-    /// Number of records in the snapshot that is being fetched; 0 if there is none.
+    /// Number of records in the snapshot that is being fetched; 0 if there is
+    /// none.
     core::log_offset snapshot_offset = 0;
     /// Bytes of that snapshot that the sender has.
     std::uint64_t snapshot_position = 0;
--- a/kumquatloom/peer/sync_response.hpp
+++ b/kumquatloom/peer/sync_response.hpp
@@ -36,7 +36,8 @@
     std::vector<sync_record> records;
     /// Chain digest after the last of the records.
     core::sha256_digest chain_after{};
-    /// Number of records in the snapshot that the part belongs to; 0 if there is none.
+    /// Number of records in the snapshot that the part belongs to; 0 if there
+    /// is none.
     core::log_offset snapshot_offset = 0;
     /// Size of the whole snapshot.
     std::uint64_t snapshot_size = 0;
--- a/stand_ins/http_caller.cpp
+++ b/stand_ins/http_caller.cpp
@@ -79,14 +79,12 @@
 }
 
 asio::awaitable<std::optional<http_response>>
-call_once(settings::endpoint server,
+call_once(settings::endpoint const& server,
           http_request request,
           std::chrono::milliseconds timeout)
 {
-    // A statement of its own, since g++ 12 destroys a by-value argument twice
-    // when another argument of the call is awaited.
     auto const executor = co_await asio::this_coro::executor;
-    http_caller caller(executor, std::move(server));
+    http_caller caller(executor, server);
     co_return co_await caller.call(std::move(request), timeout);
 }
 
--- a/stand_ins/http_caller.hpp
+++ b/stand_ins/http_caller.hpp
@@ -53,9 +53,10 @@
                           std::string_view target,
                           std::string body = {});
 
-/// Sends one request on a connection of its own.
+/// Sends one request on a connection of its own. The server's address must
+/// outlive the call.
 boost::asio::awaitable<std::optional<http_response>>
-call_once(settings::endpoint server,
+call_once(settings::endpoint const& server,
           http_request request,
           std::chrono::milliseconds timeout);
 
--- a/stand_ins/load_generator.cpp
+++ b/stand_ins/load_generator.cpp
@@ -62,6 +62,14 @@
            has("end", json::value(true));
 }
 
+/// The address of a listed instance. Not in a coroutine, where g++ 12 destroys
+/// members of an aggregate twice.
+settings::endpoint address_of(json::value const& instance)
+{
+    return {std::string(instance.at("host").as_string()),
+            instance.at("port").to_number<std::uint16_t>()};
+}
+
 asio::awaitable<void> pause_until(steady_clock::time_point time)
 {
     asio::steady_timer timer(co_await asio::this_coro::executor, time);
@@ -333,9 +341,7 @@
     {
         if (instance.at("kind").as_string() != "upstream")
             continue;
-        settings::endpoint const address{
-            std::string(instance.at("host").as_string()),
-            instance.at("port").to_number<std::uint16_t>()};
+        auto const address = address_of(instance);
         auto const response = co_await call_once(
             address, make_request(http::verb::get, "/audit"), control_timeout);
         if (!response)
--- a/unit_tests/fault_matrix/request_fleet.cpp
+++ b/unit_tests/fault_matrix/request_fleet.cpp
@@ -141,6 +141,11 @@
     instance_->publish(make_document());
 }
 
+settings::endpoint request_fleet::callers_address() const
+{
+    return {"127.0.0.1", instance_->callers_port()};
+}
+
 std::vector<request_record> request_fleet::run(unsigned rounds)
 {
     asio::co_spawn(
@@ -163,7 +168,7 @@
 
 asio::awaitable<void> request_fleet::wait_until_ready()
 {
-    settings::endpoint const callers{"127.0.0.1", instance_->callers_port()};
+    auto const callers = callers_address();
     asio::steady_timer timer(co_await asio::this_coro::executor);
     // The pair of well upstreams answers as soon as the list was read.
     constexpr upstream_pair well{upstream_action::answer_well,
@@ -215,10 +220,9 @@
     request.set(http::field::authorization, std::string("Bearer ") + secret);
     request.set("X-Operation", operation);
     request.set("Kumquatloom-Deadline-Ms", std::to_string(deadline.count()));
-    auto const response =
-        co_await stand_ins::call_once({"127.0.0.1", instance_->callers_port()},
-                                      std::move(request),
-                                      caller_patience);
+    auto const callers = callers_address();
+    auto const response = co_await stand_ins::call_once(
+        callers, std::move(request), caller_patience);
     request_record record;
     record.pair = pair;
     record.operation = operation;
--- a/unit_tests/fault_matrix/request_fleet.hpp
+++ b/unit_tests/fault_matrix/request_fleet.hpp
@@ -1,6 +1,8 @@
 #ifndef KUMQUATLOOM_UNIT_TESTS_FAULT_MATRIX_REQUEST_FLEET_HPP
 #define KUMQUATLOOM_UNIT_TESTS_FAULT_MATRIX_REQUEST_FLEET_HPP
 
+#include <kumquatloom/settings/endpoint.hpp>
+
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 
@@ -69,6 +71,9 @@
 private:
     void start_upstreams();
     void start_instance();
+    // Not in a coroutine: g++ 12 destroys an aggregate that is made there from
+    // a literal twice.
+    settings::endpoint callers_address() const;
     boost::asio::awaitable<void> wait_until_ready();
     boost::asio::awaitable<void> run_service(upstream_pair pair,
                                              unsigned rounds);
