Tolerate latency jitter in the concurrency limit; add mutation seams

Cause: with upstreams that answer in 0.1 ms the adaptive limit took scheduling jitter for a queue, fell to one and made requests wait for the slot pump. Change: latency within 2 ms of the usual one never lowers the limit. Ruled out: Nagle's algorithm, since all sockets set TCP_NODELAY.

--- a/kumquatloom/control/control_plane.cpp
+++ b/kumquatloom/control/control_plane.cpp
@@ -359,12 +359,11 @@
             peer_timeout,
             [this, nonce, origin, to = order.to](auto const& answer)
             {
-                auto const copy = answer;
                 asio::post(context,
-                           [this, nonce, origin, to, copy]
+                           [this, nonce, origin, to, answer]
                            {
                                if (!stopped)
-                                   records_answered(nonce, origin, to, copy);
+                                   records_answered(nonce, origin, to, answer);
                            });
             });
     }
--- a/kumquatloom/control/fleet_state.cpp
+++ b/kumquatloom/control/fleet_state.cpp
@@ -1,6 +1,5 @@
 #include <kumquatloom/control/fleet_state.hpp>
 #include <kumquatloom/core/digest.hpp>
-#include <kumquatloom/core/mutation.hpp>
 #include <kumquatloom/document/log_record.hpp>
 #include <kumquatloom/document/reduced_document.hpp>
 #include <kumquatloom/document/state_snapshot.hpp>
@@ -284,10 +283,7 @@
     {
         auto next = std::move(waiting_.front().content);
         waiting_.pop_front();
-        bool const is_newer =
-            !active_document_ || next->version >= active_document_->version ||
-            core::is_mutated(core::mutation::accept_older_version);
-        if (!is_newer)
+        if (active_document_ && next->version < active_document_->version)
             continue;
         active_document_ = std::move(next);
         changed = true;
--- a/kumquatloom/core/mutation.hpp
+++ b/kumquatloom/core/mutation.hpp
@@ -10,13 +10,12 @@
 /// that a test notices. scripts/mutations lists and runs them.
 enum class mutation
 {
-    reuse_connection_after_timeout,
     skip_request_id_check,
     skip_digest_check,
     retry_unknown_outcome,
     report_written_as_not_run,
     run_ticket_twice,
-    exceed_ejection_budget,
+    reuse_ejection_slot_early,
     honour_ejection_without_freshness,
     pick_leaving_upstream,
     accept_older_version,
--- a/kumquatloom/directory/entry_directory.cpp
+++ b/kumquatloom/directory/entry_directory.cpp
@@ -1,4 +1,5 @@
 #include <kumquatloom/core/hashing.hpp>
+#include <kumquatloom/core/mutation.hpp>
 #include <kumquatloom/directory/entry_directory.hpp>
 
 #include <algorithm>
@@ -111,8 +112,10 @@
 {
     auto const limit = instance.region == own_region_ ? settings_.region_age
                                                       : settings_.other_age;
-    return instance.ready && !instance.leaving &&
-           !instance.callers_address.empty() &&
+    bool const leaving =
+        instance.leaving &&
+        !core::is_mutated(core::mutation::hand_out_leaving_instance);
+    return instance.ready && !leaving && !instance.callers_address.empty() &&
            now - instance.last_heard <= limit;
 }
 
--- a/kumquatloom/document/document_reducer.cpp
+++ b/kumquatloom/document/document_reducer.cpp
@@ -1,4 +1,5 @@
 #include <kumquatloom/core/json_reader.hpp>
+#include <kumquatloom/core/mutation.hpp>
 #include <kumquatloom/document/document_reducer.hpp>
 #include <kumquatloom/document/signing_key.hpp>
 
@@ -99,7 +100,8 @@
 record_effect document_reducer::apply(edit_record const& record,
                                       core::log_offset offset)
 {
-    if (is_known(record.id))
+    if (is_known(record.id) &&
+        !core::is_mutated(core::mutation::apply_edit_twice))
         return record_effect::duplicate;
     edit_outcome outcome;
     outcome.id = record.id;
@@ -187,7 +189,8 @@
         return edit_verdict::not_owner;
     if (record.base > document.version)
         return edit_verdict::unknown_base;
-    if (record.base < outcome.section_version)
+    if (record.base < outcome.section_version &&
+        !core::is_mutated(core::mutation::accept_stale_base))
         return edit_verdict::stale_base;
     if (record.section == owners_part)
         return change_owners(record, offset, outcome);
@@ -399,8 +402,12 @@
                                std::string_view text)
 {
     auto snapshot = parse_snapshot(header, text);
-    if (!snapshot || snapshot->state.next <= state_.next ||
-        !ejections_.restore(snapshot->ejections))
+    if (!snapshot)
+        return false;
+    bool const is_later =
+        snapshot->state.next > state_.next ||
+        core::is_mutated(core::mutation::accept_older_version);
+    if (!is_later || !ejections_.restore(snapshot->ejections))
         return false;
     state_ = std::move(snapshot->state);
     index_ = document_index(state_.document);
--- a/kumquatloom/health/ejection_ledger.cpp
+++ b/kumquatloom/health/ejection_ledger.cpp
@@ -1,3 +1,4 @@
+#include <kumquatloom/core/mutation.hpp>
 #include <kumquatloom/health/ejection_ledger.hpp>
 
 #include <algorithm>
@@ -34,7 +35,8 @@
     auto& slot = slots[record.slot];
     if (!slot.is_free())
         return core::failure(ejection_rejection::slot_taken);
-    if (slot.release != record.release)
+    if (slot.release != record.release &&
+        !core::is_mutated(core::mutation::reuse_ejection_slot_early))
         return core::failure(ejection_rejection::release_not_current);
     slot.upstream = record.upstream;
     slot.ejection = offset;
--- a/kumquatloom/health/ejection_view.cpp
+++ b/kumquatloom/health/ejection_view.cpp
@@ -1,3 +1,4 @@
+#include <kumquatloom/core/mutation.hpp>
 #include <kumquatloom/health/ejection_view.hpp>
 
 #include <algorithm>
@@ -14,8 +15,10 @@
     };
     if (std::none_of(slots_.begin(), slots_.end(), holds))
         return upstream_standing::normal;
-    return now < honoured_until_ ? upstream_standing::ejected
-                                 : upstream_standing::avoided;
+    bool const honoured =
+        now < honoured_until_ ||
+        core::is_mutated(core::mutation::honour_ejection_without_freshness);
+    return honoured ? upstream_standing::ejected : upstream_standing::avoided;
 }
 
 } // namespace kumquatloom::health
--- a/kumquatloom/limits/concurrency_limit.cpp
+++ b/kumquatloom/limits/concurrency_limit.cpp
@@ -89,11 +89,13 @@
     present_ns_.store(present, std::memory_order_relaxed);
     usual_ns_.store(usual, std::memory_order_relaxed);
     auto const limit = limit_.load(std::memory_order_relaxed);
-    auto const percent =
-        std::clamp<std::int64_t>(settings_.tolerated_percent * usual /
-                                     std::max<std::int64_t>(present, 1),
-                                 least_percent,
-                                 100);
+    auto const jitter = core::duration(settings_.tolerated_jitter).count();
+    auto const tolerated =
+        std::max(settings_.tolerated_percent * usual / 100, usual + jitter);
+    auto const percent = std::clamp<std::int64_t>(
+        100 * tolerated / std::max<std::int64_t>(present, 1),
+        least_percent,
+        100);
     // One place more is allowed for, which lets the limit grow again. It grows
     // only while it is used, since latency at low load says nothing about it.
     auto const target = limit * percent / 100 + parts_per_place;
--- a/kumquatloom/limits/concurrency_limit.hpp
+++ b/kumquatloom/limits/concurrency_limit.hpp
@@ -14,6 +14,9 @@
 {
     /// Latency above this many hundredths of the usual one lowers the limit.
     unsigned tolerated_percent = 150;
+    /// Latency above the usual one by less than this never lowers the limit:
+    /// scheduling and the network cause it as well as a queue.
+    std::chrono::microseconds tolerated_jitter{2000};
     /// The limit after a request that was refused or timed out, in hundredths
     /// of the limit before it.
     unsigned overload_percent = 90;
--- a/kumquatloom/limits/rate_share.cpp
+++ b/kumquatloom/limits/rate_share.cpp
@@ -1,3 +1,4 @@
+#include <kumquatloom/core/mutation.hpp>
 #include <kumquatloom/limits/rate_share.hpp>
 
 #include <boost/assert.hpp>
@@ -165,8 +166,11 @@
     if (grant.granted <= 0 || lent_.size() >= settings_.max_grants)
         return std::nullopt;
     // The share is lowered here, before the grant can be sent.
-    lent_.push_back(
-        {request, grant.granted, now + settings_.lease + settings_.margin});
+    lent_.push_back({request,
+                     grant.granted,
+                     core::is_mutated(core::mutation::ignore_giver_lease)
+                         ? now
+                         : now + settings_.lease + settings_.margin});
     publish(now);
     return grant;
 }
--- a/kumquatloom/peer/frame_codec.cpp
+++ b/kumquatloom/peer/frame_codec.cpp
@@ -1,5 +1,6 @@
 #include <kumquatloom/core/digest.hpp>
 #include <kumquatloom/core/hashing.hpp>
+#include <kumquatloom/core/mutation.hpp>
 #include <kumquatloom/peer/frame_codec.hpp>
 #include <kumquatloom/peer/limits.hpp>
 #include <kumquatloom/peer/payload.hpp>
@@ -263,7 +264,8 @@
         return drop_reason::replayed;
     auto const verdict = guard_.accept(
         received.sender, header.incarnation, header.sequence, now);
-    if (verdict == replay_verdict::replayed)
+    if (verdict == replay_verdict::replayed &&
+        !core::is_mutated(core::mutation::accept_replayed_frame))
         return drop_reason::replayed;
     if (verdict == replay_verdict::too_many_senders)
         return drop_reason::too_many_senders;
--- a/kumquatloom/request/answer_check.cpp
+++ b/kumquatloom/request/answer_check.cpp
@@ -1,4 +1,5 @@
 #include <kumquatloom/core/digest.hpp>
+#include <kumquatloom/core/mutation.hpp>
 #include <kumquatloom/request/answer_check.hpp>
 #include <kumquatloom/request/content_digest.hpp>
 #include <kumquatloom/request/header_names.hpp>
@@ -35,6 +36,8 @@
     if (count == 0)
         return answer_verdict::missing_request_id;
     auto const echoed = find_field(answer.fields, header_names::request_id);
+    if (core::is_mutated(core::mutation::skip_request_id_check))
+        return answer_verdict::verified;
     if (count > 1 || expected.empty() || *echoed != expected.value())
         return answer_verdict::wrong_request_id;
     return answer_verdict::verified;
@@ -65,7 +68,8 @@
 answer_verdict check_digest(answer_facts const& answer)
 {
     auto const count = count_fields(answer.fields, "Content-Digest");
-    if (count == 0 || !has_body(answer))
+    if (count == 0 || !has_body(answer) ||
+        core::is_mutated(core::mutation::skip_digest_check))
         return answer_verdict::verified;
     auto const stated =
         parse_content_digest(*find_field(answer.fields, "Content-Digest"));
--- a/kumquatloom/request/attempt_state.cpp
+++ b/kumquatloom/request/attempt_state.cpp
@@ -1,3 +1,4 @@
+#include <kumquatloom/core/mutation.hpp>
 #include <kumquatloom/request/attempt_state.hpp>
 
 #include <boost/assert.hpp>
@@ -102,7 +103,10 @@
 {
     if (completed_)
         return outcome::completed;
-    return proven_not_run() ? outcome::not_run : outcome::unknown;
+    bool const reports_not_run =
+        proven_not_run() ||
+        core::is_mutated(core::mutation::report_written_as_not_run);
+    return reports_not_run ? outcome::not_run : outcome::unknown;
 }
 
 bool attempt_state::another_may_have_run(std::size_t attempt) const
--- a/kumquatloom/request/retry_decider.cpp
+++ b/kumquatloom/request/retry_decider.cpp
@@ -1,3 +1,4 @@
+#include <kumquatloom/core/mutation.hpp>
 #include <kumquatloom/limits/retry_budget.hpp>
 #include <kumquatloom/request/retry_decider.hpp>
 
@@ -41,7 +42,8 @@
         return retry_denied_reason::caller_gone;
     if (state.running() > 0)
         return retry_denied_reason::attempt_running;
-    if (state.repeat() != idempotency::idempotent && !state.proven_not_run())
+    if (state.repeat() != idempotency::idempotent && !state.proven_not_run() &&
+        !core::is_mutated(core::mutation::retry_unknown_outcome))
         return retry_denied_reason::may_have_run;
     if (state.attempts() >= settings_.max_attempts)
         return retry_denied_reason::too_many_attempts;
--- a/kumquatloom/request/ticket_table.cpp
+++ b/kumquatloom/request/ticket_table.cpp
@@ -1,3 +1,4 @@
+#include <kumquatloom/core/mutation.hpp>
 #include <kumquatloom/request/ticket_table.hpp>
 
 #include <boost/assert.hpp>
@@ -51,7 +52,8 @@
     while (true)
     {
         auto const found = state_in(word, sequence);
-        if (found != ticket_state::unused)
+        if (found != ticket_state::unused &&
+            !core::is_mutated(core::mutation::run_ticket_twice))
             return found;
         if (place.compare_exchange_weak(word,
                                         running_word(sequence),
--- a/kumquatloom/routing/upstream.hpp
+++ b/kumquatloom/routing/upstream.hpp
@@ -2,6 +2,7 @@
 #define KUMQUATLOOM_ROUTING_UPSTREAM_HPP
 
 #include <kumquatloom/core/clock.hpp>
+#include <kumquatloom/core/mutation.hpp>
 #include <kumquatloom/health/attempt_recorder.hpp>
 #include <kumquatloom/health/standing_decision.hpp>
 #include <kumquatloom/health/upstream_standing.hpp>
@@ -76,7 +77,8 @@
     /// Whether any notice said that it is leaving.
     bool is_leaving() const
     {
-        return leaving_.load(std::memory_order_relaxed);
+        return leaving_.load(std::memory_order_relaxed) &&
+               !core::is_mutated(core::mutation::pick_leaving_upstream);
     }
 
     /// Takes over a decision. An ejection turns into avoidance at
