--- a/kumquatloom/control/control_plane.cpp
+++ b/kumquatloom/control/control_plane.cpp
@@ -502,6 +502,10 @@
             (!changed && published_version == document->version))
             return;
         published_version = document->version;
+        unsigned instances = 0;
+        for (auto const& [region, count] : document->expected_entry_instances)
+            instances += count;
+        writer.expect_instances(instances);
         core::log_info("document_in_force",
                        {{"version", std::to_string(document->version)}});
         hooks.document_activated(document);
--- a/kumquatloom/control/log_writer.cpp
+++ b/kumquatloom/control/log_writer.cpp
@@ -51,6 +51,7 @@
                        platform::log_client const& client,
                        document::append_settings settings)
     : client_(client)
+    , settings_(settings)
     , policy_(settings, uniform_source(), core::clock::now())
     , timer_(context)
 {
@@ -91,6 +92,15 @@
     queue_.push_back({std::move(record), std::move(still_wanted)});
 }
 
+void log_writer::expect_instances(unsigned instances)
+{
+    if (instances == 0 || instances == settings_.instances)
+        return;
+    settings_.instances = instances;
+    policy_ = document::append_policy(
+        settings_, uniform_source(), core::clock::now());
+}
+
 boost::asio::awaitable<void> log_writer::write_first()
 {
     auto const first = queue_.front();
--- a/kumquatloom/control/log_writer.hpp
+++ b/kumquatloom/control/log_writer.hpp
@@ -56,6 +56,9 @@
     /// record may be in the log already or be out of date.
     void append(std::string record, std::function<bool()> still_wanted);
 
+    /// Takes over the number of instances that share the fleet's rate.
+    void expect_instances(unsigned instances);
+
     /// Records that wait.
     std::size_t waiting() const
     {
@@ -85,6 +88,8 @@
 
     /// The log.
     platform::log_client const& client_;
+    /// Settings of the policy.
+    document::append_settings settings_;
     /// Limits the appends.
     document::append_policy policy_;
     /// Records that wait, the oldest first.
