Pin the key that may create the document

Cause: whoever appended first to an empty log created the document. Conclusion: settings tests pass.

--- a/kumquatloom/control/control_plane.cpp
+++ b/kumquatloom/control/control_plane.cpp
@@ -81,6 +81,8 @@
     fleet_state_settings result;
     result.activation.quorum_slack = settings.fleet.quorum_slack;
     result.start.quorum_slack = settings.fleet.quorum_slack;
+    if (!settings.fleet.platform_public_key.empty())
+        result.reducer.platform_public_key = settings.fleet.platform_public_key;
     return result;
 }
 
--- a/kumquatloom/settings/instance_settings.cpp
+++ b/kumquatloom/settings/instance_settings.cpp
@@ -17,6 +17,8 @@
 
 /// Shortest secret of a fleet key.
 constexpr std::size_t min_secret_bytes = 16;
+/// An Ed25519 public key has this many bytes.
+constexpr std::size_t public_key_bytes = 32;
 /// One key authenticates; a second one is valid during a rotation.
 constexpr std::size_t max_fleet_keys = 2;
 constexpr std::uint64_t kibibyte = 1024;
@@ -103,6 +105,16 @@
         reader.report("keys",
                       std::to_string(fleet.keys.size()) + " keys",
                       "one key, or two during a rotation");
+    if (reader.has("platform_public_key_hex"))
+    {
+        auto const key = core::from_hex(reader.text("platform_public_key_hex"));
+        if (!key || key->size() != public_key_bytes)
+            reader.report("platform_public_key_hex",
+                          "another text",
+                          "an Ed25519 public key of 64 hex digits");
+        else
+            fleet.platform_public_key = *key;
+    }
     for (auto const& text : reader.texts("seeds"))
     {
         if (auto const seed = parse_endpoint(text))
--- a/kumquatloom/settings/instance_settings.hpp
+++ b/kumquatloom/settings/instance_settings.hpp
@@ -64,6 +64,9 @@
     std::string name;
     /// One or two keys; the first one authenticates what is sent.
     std::vector<fleet_key> keys;
+    /// Ed25519 public key of the owner that must create the document; empty
+    /// accepts the first creation in the log.
+    std::string platform_public_key;
     /// Peers to contact first.
     std::vector<endpoint> seeds;
     /// Members of a region that read the log themselves.
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -63,7 +63,8 @@
   "instance": {"id": "$id", "failure_domain": "$domain", "region": "$region"},
   "listen": {"callers": "127.0.0.1:0", "operators": "127.0.0.1:0", "peers": "127.0.0.1:0"},
   "platform": {"log": "$log", "instances": "$list", "poll_ms": 200},
-  "fleet": {"name": "quickstart", "keys": [{"id": 1, "secret_hex": "$fleet_key"}]},
+  "fleet": {"name": "quickstart", "keys": [{"id": 1, "secret_hex": "$fleet_key"}],
+            "platform_public_key_hex": "$(tr -d '\n' <"$work_dir/platform.key.public")"},
   "callers": {"entries_ttl_ms": 1000}
 }
 JSON
--- a/unit_tests/settings/instance_settings_test.cpp
+++ b/unit_tests/settings/instance_settings_test.cpp
@@ -49,6 +49,15 @@
         CHECK(faults[0].pointer == "/listen/operators");
     }
 
+    SECTION("a key of the platform's owner that is too short is reported")
+    {
+        auto const faults = faults_of(
+            changed("\"seeds\": []",
+                    "\"seeds\": [], \"platform_public_key_hex\": \"00\""));
+        REQUIRE(faults.size() == 1);
+        CHECK(faults[0].pointer == "/fleet/platform_public_key_hex");
+    }
+
     SECTION("all faults are reported at once")
     {
         std::string text = changed("\"threads\": 2", "\"threads\": 0");
