--- a/kumquatloom/control/control_plane.cpp
+++ b/kumquatloom/control/control_plane.cpp
@@ -1,3 +1,4 @@
+#include <kumquatloom/control/bound_transports.hpp>
 #include <kumquatloom/control/control_plane.hpp>
 #include <kumquatloom/control/control_status.hpp>
 #include <kumquatloom/control/fleet_state.hpp>
@@ -15,7 +16,6 @@
 #include <kumquatloom/membership/outbox.hpp>
 #include <kumquatloom/peer/frame.hpp>
 #include <kumquatloom/peer/tcp_transport.hpp>
-#include <kumquatloom/peer/tcp_transport_settings.hpp>
 #include <kumquatloom/peer/udp_transport.hpp>
 #include <kumquatloom/platform/log_client.hpp>
 
@@ -57,8 +57,6 @@
 constexpr milliseconds peer_timeout{1000};
 /// How long an operator's edit waits for its reduction.
 constexpr milliseconds edit_patience{10000};
-/// Attempts to find a port that is free for UDP and TCP.
-constexpr int port_attempts = 20;
 /// Ejections are honoured, and snapshots written, by a fresh instance only.
 constexpr milliseconds freshness_lease{5000};
 
@@ -96,63 +94,6 @@
     return result;
 }
 
-peer::frame_codec_settings
-codec_settings(settings::instance_settings const& settings,
-               core::incarnation incarnation,
-               peer::channel channel)
-{
-    peer::frame_codec_settings result;
-    result.channel = channel;
-    result.fleet = settings.fleet.name;
-    result.keys = settings.fleet.keys;
-    result.self = settings.instance.id;
-    result.incarnation = incarnation;
-    return result;
-}
-
-/// Both transports, bound to the same port number.
-struct bound_transports
-{
-    /// Datagrams.
-    std::unique_ptr<peer::udp_transport> udp;
-    /// Streams.
-    std::unique_ptr<peer::tcp_transport> tcp;
-};
-
-bound_transports bind_transports(asio::io_context& context,
-                                 settings::instance_settings const& settings,
-                                 core::incarnation incarnation,
-                                 peer::traffic_counters& traffic)
-{
-    for (int attempt = 1;; ++attempt)
-    {
-        bound_transports result;
-        result.tcp = std::make_unique<peer::tcp_transport>(
-            context,
-            settings.listen.peers,
-            peer::tcp_transport_settings{},
-            codec_settings(settings, incarnation, peer::channel::stream),
-            traffic);
-        auto const address = result.tcp->local_endpoint();
-        try
-        {
-            result.udp = std::make_unique<peer::udp_transport>(
-                context,
-                address,
-                codec_settings(settings, incarnation, peer::channel::datagram),
-                traffic);
-            return result;
-        }
-        catch (boost::system::system_error const&)
-        {
-            // With a port of its own choice the system may offer one that
-            // is free for TCP only.
-            if (settings.listen.peers.port != 0 || attempt == port_attempts)
-                throw;
-        }
-    }
-}
-
 } // namespace
 
 /// Everything that the control plane owns.
