Wait for the event of a slow caller in its test

Cause: the stream closes the socket of a slow caller before the session counts the event, so the test could read the counter too early. It failed once while another build kept all cores busy. Change: the test waits until the event is counted, and still asks for exactly one.

--- a/unit_tests/entry/caller_limits_test.cpp
+++ b/unit_tests/entry/caller_limits_test.cpp
@@ -112,8 +112,18 @@
             caller.send("POST /buy HTTP/1.1\r\nContent-Length: 10\r\n\r\nhalf");
         }
         CHECK(caller.ended());
-        CHECK(fixture.metric("kumquatloom_events_total{event="
-                             "\"caller-too-slow\"}") == 1);
+        // The socket is closed before the event is counted.
+        auto const too_slow = [&]
+        {
+            return fixture.metric("kumquatloom_events_total{event="
+                                  "\"caller-too-slow\"}");
+        };
+        fixture.wait_until(
+            [&]
+            {
+                return too_slow() != 0;
+            });
+        CHECK(too_slow() == 1);
         CHECK(upstream.executions() == 0);
     }
 
