Count idle shares one by one before the share table is moved

Cause: refresh() took the size of the generation after its walk, less the shares that it kept, for the number of idle ones. Shares that requests had added meanwhile counted as idle, so the table could be moved without need, and what was added to the old generation was made anew with a fresh request to serve: the limit was exceeded.

--- a/kumquatloom/limits/share_table.cpp
+++ b/kumquatloom/limits/share_table.cpp
@@ -152,18 +152,22 @@
 {
     auto const old = current_.read();
     std::vector<boost::intrusive_ptr<entry>> kept;
+    // Idle shares are counted one by one: the size of the generation also has
+    // shares that requests add meanwhile, which are not idle.
+    std::size_t idle = 0;
     old->for_each(
         [&](entry& item)
         {
             item.share.refresh(now);
-            if (!item.share.idle(now, settings_.idle_time))
+            if (item.share.idle(now, settings_.idle_time))
+                ++idle;
+            else
                 kept.emplace_back(&item);
         });
     // Moving is worth it once a quarter of the room can be freed. A share that
     // is added to the old generation meanwhile is lost and made anew, with one
     // request to serve at once.
-    if (old->size() - kept.size() <
-        std::max<std::size_t>(settings_.shares / 4, 1))
+    if (idle < std::max<std::size_t>(settings_.shares / 4, 1))
         return;
     boost::intrusive_ptr<generation> next(new generation(settings_.shares));
     for (auto& item : kept)
