--- a/kumquatloom/control/control_plane.cpp
+++ b/kumquatloom/control/control_plane.cpp
@@ -508,14 +508,14 @@
     /// Writes a snapshot if one is due and this instance is its writer.
     void write_snapshot()
     {
-        if (!state.snapshot_due() || writer.waiting() > 0 || !is_fresh() ||
-            !is_writer("snapshot"))
+        if (!state.snapshot_due(core::clock::now()) || writer.waiting() > 0 ||
+            !is_fresh() || !is_writer("snapshot"))
             return;
         for (auto& text : state.snapshot_records())
             writer.append(std::move(text),
                           [this]
                           {
-                              return state.snapshot_due();
+                              return state.snapshot_due(core::clock::now());
                           });
     }
 
--- a/kumquatloom/control/fleet_state.cpp
+++ b/kumquatloom/control/fleet_state.cpp
@@ -59,7 +59,6 @@
         log_head_ = result.head;
         start_.read_log_head(*result.head);
     }
-    note_effects(result);
     if (reducer_.state().next == before)
         return false;
     if (result.event == document::follow_event::restored)
@@ -81,8 +80,7 @@
         return false;
     auto const before = reducer_.state().next;
     auto const entries = entries_of(response);
-    auto const result = follower_.pushed(entries, response.chain_after);
-    note_effects(result);
+    follower_.pushed(entries, response.chain_after);
     if (reducer_.state().next == before)
         return false;
     keep(entries, before);
@@ -203,9 +201,9 @@
     return state;
 }
 
-bool fleet_state::snapshot_due() const
+bool fleet_state::snapshot_due(core::time_point now) const
 {
-    return since_snapshot_ >= settings_.snapshot_interval;
+    return snapshots_ && snapshots_->is_due(reducer_.state().next, now);
 }
 
 std::vector<std::string> fleet_state::snapshot_records() const
@@ -253,6 +251,9 @@
     if (!offset)
         return;
     activation_.learned(*offset, now);
+    if (!snapshots_)
+        snapshots_.emplace(settings_.snapshots, now);
+    snapshots_->seen(reducer_.newest_snapshot(), now);
     // Capture the document for its activation, if it has changed.
     auto const& reduced = reducer_.state().document;
     if (reduced.created && captured_version_ != reduced.version)
@@ -262,19 +263,6 @@
     }
 }
 
-void fleet_state::note_effects(document::follow_result const& result)
-{
-    if (result.event == document::follow_event::restored)
-        since_snapshot_ = 0;
-    for (auto const effect : result.effects)
-    {
-        if (effect == document::record_effect::snapshot_seen)
-            since_snapshot_ = 0;
-        else
-            ++since_snapshot_;
-    }
-}
-
 bool fleet_state::activate_documents()
 {
     auto const active = activation_.active();
--- a/kumquatloom/control/fleet_state.hpp
+++ b/kumquatloom/control/fleet_state.hpp
@@ -8,6 +8,7 @@
 #include <kumquatloom/document/document.hpp>
 #include <kumquatloom/document/document_reducer.hpp>
 #include <kumquatloom/document/log_follower.hpp>
+#include <kumquatloom/document/snapshot_policy.hpp>
 #include <kumquatloom/document/start_rule.hpp>
 #include <kumquatloom/membership/local_state.hpp>
 
@@ -106,9 +107,9 @@
         return reducer_.find_outcome(id);
     }
 
-    /// Whether so many records followed the last snapshot that a new one is
-    /// due.
-    bool snapshot_due() const;
+    /// Whether so many records followed the newest complete snapshot, or so
+    /// much time, that a new one is due.
+    bool snapshot_due(core::time_point now) const;
 
     /// The records of a snapshot of the present state.
     std::vector<std::string> snapshot_records() const;
@@ -156,7 +157,6 @@
     void keep(std::vector<document::log_entry> const& entries,
               core::log_offset first_new);
     void learned(core::time_point now);
-    void note_effects(document::follow_result const& result);
     bool activate_documents();
     peer::sync_response answer_with_snapshot(peer::sync_request const& request);
 
@@ -184,8 +184,8 @@
     std::optional<core::log_offset> captured_version_;
     /// Head of the log at the last direct read.
     std::optional<core::log_offset> log_head_;
-    /// Records that followed the last snapshot.
-    std::size_t since_snapshot_ = 0;
+    /// Decides when a snapshot is due; set with the first records.
+    std::optional<document::snapshot_policy> snapshots_;
     /// Text of a snapshot for peers, and the offset that it belongs to.
     std::string snapshot_text_;
     /// Number of records in that snapshot.
--- a/kumquatloom/control/fleet_state_settings.hpp
+++ b/kumquatloom/control/fleet_state_settings.hpp
@@ -3,6 +3,7 @@
 
 #include <kumquatloom/document/activation_rule.hpp>
 #include <kumquatloom/document/document_reducer.hpp>
+#include <kumquatloom/document/snapshot_policy.hpp>
 #include <kumquatloom/document/start_rule.hpp>
 
 #include <cstddef>
@@ -23,8 +24,8 @@
     std::size_t kept_records = 1024;
     /// Most bytes of those records.
     std::size_t kept_bytes = 2 * 1024 * 1024;
-    /// Records after which a snapshot is due.
-    std::size_t snapshot_interval = 256;
+    /// When a snapshot is due.
+    document::snapshot_policy_settings snapshots;
 };
 
 } // namespace kumquatloom::control
--- a/unit_tests/control/fleet_state_test.cpp
+++ b/unit_tests/control/fleet_state_test.cpp
@@ -1,4 +1,5 @@
 #include <kumquatloom/control/fleet_state.hpp>
+#include <kumquatloom/document/state_snapshot.hpp>
 #include <kumquatloom/peer/sync_request.hpp>
 #include <kumquatloom/peer/sync_response.hpp>
 
@@ -184,17 +185,40 @@
     SECTION("a snapshot is due after many records, and its records are short")
     {
         control::fleet_state_settings often;
-        often.snapshot_interval = 4;
+        often.snapshots.records = 4;
         control::fleet_state writer(often);
         read_to_end(writer, log, start);
-        CHECK(writer.snapshot_due());
+        CHECK(writer.snapshot_due(start));
 
         auto longer = log;
         for (auto& text : writer.snapshot_records())
             longer.records.push_back(std::move(text));
         read_to_end(writer, longer, start);
-        CHECK_FALSE(writer.snapshot_due());
+        CHECK_FALSE(writer.snapshot_due(start));
         CHECK_FALSE(writer.log_disagrees());
+
+        SECTION("and the first of several parts is not a snapshot yet")
+        {
+            control::ledger_adapter ledger;
+            document::document_reducer reducer(
+                {}, document::connect_ejections(ledger));
+            for (std::size_t i = 0; i < log.records.size(); ++i)
+                reducer.reduce({i, log.records[i]});
+            auto const parts =
+                document::split_snapshot(reducer.snapshot(), "parts", 256);
+            REQUIRE(parts.size() > 1);
+            control::fleet_state other(often);
+            auto growing = log;
+            for (auto const& part : parts)
+            {
+                CHECK(growing.records.size() >= 4);
+                read_to_end(other, growing, start);
+                CHECK(other.snapshot_due(start));
+                growing.records.push_back(document::to_text(part));
+            }
+            read_to_end(other, growing, start);
+            CHECK_FALSE(other.log_disagrees());
+        }
     }
 
     SECTION("a log that was cut back is noticed and not followed")
