--- a/kumquatloom/admission/admission_gate.cpp
+++ b/kumquatloom/admission/admission_gate.cpp
@@ -1,6 +1,5 @@
 #include <kumquatloom/admission/admission_gate.hpp>
 #include <kumquatloom/admission/target_check.hpp>
-#include <kumquatloom/request/header_names.hpp>
 
 #include <string>
 #include <utility>
@@ -12,15 +11,29 @@
 {
 
 using request::find_field;
-namespace names = request::header_names;
 
-/// Reads the system's own request headers; false if one is malformed.
+/// Value of a field of the dialect, if the dialect and the request have it.
+std::optional<std::string_view> dialect_field(request_facts const& facts,
+                                              std::string_view name)
+{
+    return name.empty() ? std::nullopt : find_field(facts.fields, name);
+}
+
+/// Reads the dialect's request headers; false if one is malformed.
 bool read_own_fields(request_facts const& facts,
                      core::time_point now,
+                     request::wire_dialect const& dialect,
                      admitted_request& admitted)
 {
+    if (dialect.keeps_request_id)
+    {
+        // Without an id no upstream's answer can be told from another one.
+        auto const id = find_field(facts.fields, dialect.request_id);
+        if (!id || id->empty())
+            return false;
+    }
     std::optional<std::chrono::milliseconds> limit;
-    if (auto const text = find_field(facts.fields, names::deadline_ms))
+    if (auto const text = dialect_field(facts, dialect.deadline))
     {
         limit = request::parse_deadline_ms(*text);
         if (!limit)
@@ -28,28 +41,31 @@
     }
     admitted.until =
         request::deadline::of_request(now, limit, admitted.route.deadline);
-    if (auto const text = find_field(facts.fields, names::priority))
+    admitted.priority = admitted.route.priority;
+    if (auto const text = dialect_field(facts, dialect.priority))
     {
         auto const priority = limits::parse_priority(*text);
         if (!priority)
             return false;
         admitted.priority = *priority;
     }
-    if (auto const text = find_field(facts.fields, names::ticket))
+    if (auto const text = dialect_field(facts, dialect.ticket))
         admitted.ticket = std::string(*text);
     admitted.repeat =
         request::idempotency_of(facts.method,
                                 admitted.route.repeat,
-                                find_field(facts.fields, names::idempotent));
+                                dialect_field(facts, dialect.idempotent));
     return true;
 }
 
 } // namespace
 
 admission_gate::admission_gate(header_check_settings settings,
-                               core::region region)
+                               core::region region,
+                               request::wire_dialect const& dialect)
     : header_check_(settings)
     , region_(std::move(region))
+    , dialect_(dialect)
 {
 }
 
@@ -59,10 +75,10 @@
         new admission_table(source, region_)));
 }
 
-core::result<admitted_request, refusal_reason>
-admission_gate::admit(request_facts const& facts, core::time_point now)
+core::result<admitted_request, refusal_reason> admission_gate::admit(
+    request_facts const& facts, core::time_point now, std::uint32_t draw)
 {
-    auto decided = decide(facts, now);
+    auto decided = decide(facts, now, draw);
     if (!decided)
         refusals_.increment(decided.error());
     return decided;
@@ -78,13 +94,15 @@
         refusals_.increment(caller.error());
         return core::failure(caller.error());
     }
-    core::organisation_name name(
-        std::string(table->organisations().name(caller.value())));
+    core::organisation_name name;
+    if (!table->is_open())
+        name = core::organisation_name(
+            std::string(table->organisations().name(caller.value())));
     return core::success(identified_caller{std::move(table), std::move(name)});
 }
 
-core::result<admitted_request, refusal_reason>
-admission_gate::decide(request_facts const& facts, core::time_point now) const
+core::result<admitted_request, refusal_reason> admission_gate::decide(
+    request_facts const& facts, core::time_point now, std::uint32_t draw) const
 {
     admitted_request admitted;
     admitted.table = table_.read();
@@ -92,15 +110,18 @@
     if (!caller)
         return core::failure(caller.error());
     admitted.organisation_number = caller.value();
-    auto const route =
-        admitted.table->routes().match(path_of(facts.target), caller.value());
+    auto const host = find_field(facts.fields, "Host");
+    auto const route = admitted.table->routes().match(
+        {host.value_or(std::string_view()), path_of(facts.target), draw},
+        caller.value());
     if (!route)
         return core::failure(route.error());
     admitted.route = route.value();
-    admitted.organisation = core::organisation_name(
-        std::string(admitted.table->organisations().name(caller.value())));
+    if (!admitted.table->is_open())
+        admitted.organisation = core::organisation_name(
+            std::string(admitted.table->organisations().name(caller.value())));
     admitted.service = core::service_name(std::string(admitted.route.service));
-    if (!read_own_fields(facts, now, admitted))
+    if (!read_own_fields(facts, now, dialect_, admitted))
         return core::failure(refusal_reason::bad_request_header);
     return core::success(std::move(admitted));
 }
@@ -114,13 +135,17 @@
         return core::failure(*reason);
     if (table == nullptr)
         return core::failure(refusal_reason::no_document);
+    if (table->is_open())
+        return organisation_index{};
     return table->organisations().authenticate(
         find_field(facts.fields, "Authorization"));
 }
 
-ticket_presence ticket_of(request_facts const& facts)
+ticket_presence ticket_of(request_facts const& facts,
+                          request::wire_dialect const& dialect)
 {
-    return request::count_fields(facts.fields, names::ticket) > 0
+    return !dialect.ticket.empty() &&
+                   request::count_fields(facts.fields, dialect.ticket) > 0
                ? ticket_presence::present
                : ticket_presence::absent;
 }
--- a/kumquatloom/admission/admission_gate.hpp
+++ b/kumquatloom/admission/admission_gate.hpp
@@ -12,9 +12,12 @@
 #include <kumquatloom/core/rcu_cell.hpp>
 #include <kumquatloom/core/result.hpp>
 #include <kumquatloom/document/document.hpp>
+#include <kumquatloom/request/wire_dialect.hpp>
 
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 
+#include <cstdint>
+
 namespace kumquatloom::admission
 {
 
@@ -33,17 +36,22 @@
 class admission_gate
 {
 public:
-    /// Refuses everything until a document is published.
-    admission_gate(header_check_settings settings, core::region region);
+    /// Refuses everything until a document is published. The dialect must
+    /// outlive the gate.
+    admission_gate(header_check_settings settings,
+                   core::region region,
+                   request::wire_dialect const& dialect = request::own_dialect);
 
     /// Puts a document in force. Blocks until no request uses the table of the
     /// one before; not for the threads that serve requests.
     void publish(document::document const& source);
 
     /// Admits a request to its route, or gives the reason against it, which
-    /// has been counted.
+    /// has been counted. `draw` are random bits for split routes.
     core::result<admitted_request, refusal_reason>
-    admit(request_facts const& facts, core::time_point now);
+    admit(request_facts const& facts,
+          core::time_point now,
+          std::uint32_t draw = 0);
 
     /// Checks the header and the credential only.
     core::result<identified_caller, refusal_reason>
@@ -70,7 +78,9 @@
 private:
     /// Decides without counting.
     core::result<admitted_request, refusal_reason>
-    decide(request_facts const& facts, core::time_point now) const;
+    decide(request_facts const& facts,
+           core::time_point now,
+           std::uint32_t draw) const;
     /// Checks the header and the credential without counting.
     core::result<organisation_index, refusal_reason>
     check_caller(request_facts const& facts,
@@ -80,6 +90,8 @@
     header_check header_check_;
     /// The region of this instance.
     core::region region_;
+    /// How callers mark their requests.
+    request::wire_dialect const& dialect_;
     /// What the document in force says.
     core::rcu_cell<admission_table> table_;
     /// Refusals by reason.
@@ -87,7 +99,9 @@
 };
 
 /// Whether a request carries the header of a ticket.
-ticket_presence ticket_of(request_facts const& facts);
+ticket_presence
+ticket_of(request_facts const& facts,
+          request::wire_dialect const& dialect = request::own_dialect);
 
 } // namespace kumquatloom::admission
 
--- a/kumquatloom/admission/admission_table.hpp
+++ b/kumquatloom/admission/admission_table.hpp
@@ -20,6 +20,7 @@
     admission_table(document::document const& source,
                     core::region const& region)
         : version_(source.version)
+        , is_open_(source.access == document::access_rule::open)
         , authenticator_(source.organisations)
         , routes_(source, authenticator_, region)
     {
@@ -31,6 +32,12 @@
         return version_;
     }
 
+    /// Whether everybody may use every route.
+    bool is_open() const
+    {
+        return is_open_;
+    }
+
     /// The organisations' credentials.
     authenticator const& organisations() const
     {
@@ -46,6 +53,8 @@
 private:
     /// Version of the document.
     core::log_offset version_;
+    /// Whether everybody may use every route.
+    bool is_open_;
     /// The organisations' credentials.
     authenticator authenticator_;
     /// The routes.
--- a/kumquatloom/admission/header_filter.cpp
+++ b/kumquatloom/admission/header_filter.cpp
@@ -117,13 +117,20 @@
 }
 
 std::vector<header_field>
-fields_for_upstream(std::span<header_field const> fields)
+fields_for_upstream(std::span<header_field const> fields,
+                    request::wire_dialect const& dialect)
 {
     return filtered(fields,
-                    [](std::string_view name)
+                    [&dialect](std::string_view name)
                     {
-                        return !is_own_name(name) &&
-                               !same_name(name, "Authorization");
+                        // A credential that this system checks is not passed
+                        // on; fields that it writes itself are replaced.
+                        bool const checked = !dialect.organisation.empty() &&
+                                             same_name(name, "Authorization");
+                        return !is_own_name(name) && !checked &&
+                               !same_name(name, dialect.deadline) &&
+                               !same_name(name, dialect.request_id) &&
+                               !same_name(name, dialect.expected_upstream);
                     });
 }
 
--- a/kumquatloom/admission/header_filter.hpp
+++ b/kumquatloom/admission/header_filter.hpp
@@ -2,6 +2,7 @@
 #define KUMQUATLOOM_ADMISSION_HEADER_FILTER_HPP
 
 #include <kumquatloom/request/header_field.hpp>
+#include <kumquatloom/request/wire_dialect.hpp>
 
 #include <span>
 #include <string_view>
@@ -28,9 +29,11 @@
 
 /// The fields to pass on to an upstream: without those for one hop, without
 /// the caller's credential, which is worth as much at every instance, and
-/// without any field of the system. The views stay those of the input.
-std::vector<request::header_field>
-fields_for_upstream(std::span<request::header_field const> fields);
+/// without any field of the system. Fields that the dialect makes this system
+/// write itself are left out, too. The views stay those of the input.
+std::vector<request::header_field> fields_for_upstream(
+    std::span<request::header_field const> fields,
+    request::wire_dialect const& dialect = request::own_dialect);
 
 /// The fields to pass on to the owner of a ticket: as fields_for_upstream(),
 /// with the credential and the request headers that callers may send.
--- a/kumquatloom/admission/refusal_reason.cpp
+++ b/kumquatloom/admission/refusal_reason.cpp
@@ -158,6 +158,16 @@
     return 0;
 }
 
+bool states_not_run(unsigned status)
+{
+    constexpr unsigned request_timeout = 408;
+    constexpr unsigned misdirected = 421;
+    constexpr unsigned too_many_requests = 429;
+    constexpr unsigned unavailable = 503;
+    return status == request_timeout || status == misdirected ||
+           status == too_many_requests || status == unavailable;
+}
+
 request::outcome outcome_of(refusal_reason value, ticket_presence ticket)
 {
     if (ticket == ticket_presence::present &&
--- a/kumquatloom/admission/refusal_reason.hpp
+++ b/kumquatloom/admission/refusal_reason.hpp
@@ -59,6 +59,10 @@
 /// HTTP status of the answer.
 unsigned http_status(refusal_reason value);
 
+/// Whether a status tells callers that their request was not run and never
+/// will be.
+bool states_not_run(unsigned status);
+
 /// Whether a request carried a ticket header.
 enum class ticket_presence
 {
--- a/kumquatloom/admission/route_table.cpp
+++ b/kumquatloom/admission/route_table.cpp
@@ -3,8 +3,8 @@
 
 #include <algorithm>
 #include <bit>
-#include <map>
 #include <optional>
+#include <string>
 
 namespace kumquatloom::admission
 {
@@ -28,6 +28,16 @@
         std::count(prefix.begin(), prefix.end(), '/'));
 }
 
+/// A host as routes name it: in lower case and without the port.
+std::string plain_host(std::string_view host)
+{
+    std::string plain(host.substr(0, host.rfind(':')));
+    for (char& letter : plain)
+        if (letter >= 'A' && letter <= 'Z')
+            letter = static_cast<char>(letter - 'A' + 'a');
+    return plain;
+}
+
 /// The first segments of a path, each with the slash before it.
 std::string_view first_segments(std::string_view path, std::size_t count)
 {
@@ -87,44 +97,85 @@
                          core::region const& region)
 {
     organisation_finder const finder(organisations);
-    std::map<core::service_name, std::uint32_t> service_indexes;
+    is_open_ = source.access == document::access_rule::open;
+    by_host_ = std::any_of(source.routes.begin(),
+                           source.routes.end(),
+                           [](document::route_settings const& settings)
+                           {
+                               return !settings.host.empty();
+                           });
     routes_.reserve(source.routes.size());
     for (auto const& settings : source.routes)
     {
-        auto const [place, added] =
-            service_indexes.try_emplace(settings.service, 0);
-        if (added)
-            place->second = services_.add(settings.service.value());
         auto const service = source.services.find(settings.service);
+        // A split route has no service whose limit could hold.
         auto const timeout = service == source.services.end()
                                  ? settings.deadline
                                  : service->second.timeout;
         add(settings,
-            place->second,
+            settings.split.empty() ? index_of(settings.service) : 0,
             static_cast<std::uint32_t>(timeout.count()),
             finder,
             region);
     }
+    service_indexes_.clear();
     prefixes_.shrink();
     organisations_.shrink_to_fit();
     build_index();
 }
 
 core::result<matched_route, refusal_reason>
-route_table::match(std::string_view path, organisation_index organisation) const
+route_table::match(route_key const& wanted,
+                   organisation_index organisation) const
 {
-    auto prefix = without_last_slash(first_segments(path, max_segments_));
+    auto const host = by_host_ ? plain_host(wanted.host) : std::string();
+    auto prefix =
+        without_last_slash(first_segments(wanted.path, max_segments_));
+    std::string key = host;
+    key.append(prefix);
     while (true)
     {
-        auto const first = find(prefix);
-        if (first != no_route)
-            return pick(first, organisation);
+        auto const first = find(key);
+        if (first != no_route && covers(wanted.path, prefix.size()))
+            return pick(first, wanted.draw, organisation);
         if (prefix.empty())
             return core::failure(refusal_reason::unknown_path);
         prefix = without_last_slash(prefix.substr(0, prefix.rfind('/')));
+        key.resize(host.size() + prefix.size());
     }
 }
 
+std::uint32_t route_table::index_of(core::service_name const& name)
+{
+    auto const [place, added] = service_indexes_.try_emplace(name, 0);
+    if (added)
+        place->second = services_.add(name.value());
+    return place->second;
+}
+
+std::string_view route_table::service_of(route const& item,
+                                         std::uint32_t draw) const
+{
+    if (item.parts == 0)
+        return services_.at(item.service);
+    auto const first = parts_.begin() + item.service;
+    auto const last = first + item.parts;
+    auto const total = (last - 1)->weight_up_to;
+    auto const wanted = total == 0 ? 0 : draw % total;
+    auto const part = std::find_if(first,
+                                   last - 1,
+                                   [wanted](split_part const& candidate)
+                                   {
+                                       return wanted < candidate.weight_up_to;
+                                   });
+    return services_.at(part->service);
+}
+
+bool route_table::covers(std::string_view path, std::size_t prefix_size) const
+{
+    return !is_open_ || (path.size() > prefix_size && path[prefix_size] == '/');
+}
+
 std::size_t route_table::memory() const
 {
     return routes_.capacity() * sizeof(route) + prefixes_.memory() +
@@ -144,6 +195,21 @@
     item.limit_per_s = settings.limit_per_s;
     item.deadline_ms = static_cast<std::uint32_t>(settings.deadline.count());
     item.timeout_ms = timeout_ms;
+    item.target_ms =
+        static_cast<std::uint32_t>(settings.target_latency.count());
+    item.max_attempts = static_cast<std::uint16_t>(settings.max_attempts);
+    item.priority = limits::priority_of_rank(settings.rank);
+    if (!settings.split.empty())
+    {
+        item.service = static_cast<std::uint32_t>(parts_.size());
+        item.parts = static_cast<std::uint32_t>(settings.split.size());
+        std::uint64_t weight = 0;
+        for (auto const& share : settings.split)
+        {
+            weight += share.weight;
+            parts_.push_back({index_of(share.service), weight});
+        }
+    }
     item.next = no_route;
     item.repeat = settings.repeat;
     item.region_permitted =
@@ -158,7 +224,7 @@
               organisations_.end());
     item.last_organisation = static_cast<std::uint32_t>(organisations_.size());
     auto const prefix = without_last_slash(settings.prefix);
-    prefixes_.add(prefix);
+    prefixes_.add(settings.host + std::string(prefix));
     max_segments_ = std::max(max_segments_, segments_of(prefix));
     routes_.push_back(item);
 }
@@ -197,7 +263,9 @@
 }
 
 core::result<matched_route, refusal_reason>
-route_table::pick(std::uint32_t first, organisation_index organisation) const
+route_table::pick(std::uint32_t first,
+                  std::uint32_t draw,
+                  organisation_index organisation) const
 {
     // The organisation's own reason is told only if it may use the route.
     auto reason = refusal_reason::organisation_not_permitted;
@@ -210,11 +278,14 @@
             return core::success(
                 matched_route{index,
                               prefixes_.at(index),
-                              services_.at(item.service),
+                              service_of(item, draw),
                               item.repeat,
                               item.limit_per_s,
                               std::chrono::milliseconds(item.deadline_ms),
-                              std::chrono::milliseconds(item.timeout_ms)});
+                              std::chrono::milliseconds(item.timeout_ms),
+                              std::chrono::milliseconds(item.target_ms),
+                              item.max_attempts,
+                              item.priority});
         reason = refusal_reason::region_not_permitted;
     }
     return core::failure(reason);
@@ -223,7 +294,8 @@
 bool route_table::permits(route const& item,
                           organisation_index organisation) const
 {
-    return std::binary_search(organisations_.begin() + item.first_organisation,
+    return is_open_ ||
+           std::binary_search(organisations_.begin() + item.first_organisation,
                               organisations_.begin() + item.last_organisation,
                               static_cast<std::uint32_t>(organisation));
 }
--- a/kumquatloom/admission/route_table.hpp
+++ b/kumquatloom/admission/route_table.hpp
@@ -7,10 +7,12 @@
 #include <kumquatloom/core/ids.hpp>
 #include <kumquatloom/core/result.hpp>
 #include <kumquatloom/document/document.hpp>
+#include <kumquatloom/limits/priority.hpp>
 
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <string_view>
 #include <vector>
 
@@ -22,7 +24,8 @@
 {
     /// Number of the route within its document.
     std::uint32_t index = 0;
-    /// Path prefix without a slash at its end; empty for the root.
+    /// The host, if routes name hosts, and the path prefix without a slash at
+    /// its end; empty for the root of every host.
     std::string_view prefix;
     /// The service that answers.
     std::string_view service;
@@ -34,6 +37,23 @@
     std::chrono::milliseconds deadline{0};
     /// Longest time that one attempt may take.
     std::chrono::milliseconds attempt_timeout{0};
+    /// Time within which an answer is worth most; 0 if none is stated.
+    std::chrono::milliseconds target_latency{0};
+    /// Most upstreams that the request may be sent to.
+    unsigned max_attempts = 0;
+    /// Importance of requests that state none.
+    limits::priority priority = limits::priority::normal;
+};
+
+/// What selects a route.
+struct route_key
+{
+    /// Host as received; only looked at if routes name hosts.
+    std::string_view host;
+    /// Path without the query.
+    std::string_view path;
+    /// Random bits that select the service of a split route.
+    std::uint32_t draw = 0;
 };
 
 /// Finds the route of a path as seen from one region. The longest prefix that
@@ -48,9 +68,9 @@
                 authenticator const& organisations,
                 core::region const& region);
 
-    /// The route for a path, without the query, and an organisation.
+    /// The route for a request and an organisation.
     core::result<matched_route, refusal_reason>
-    match(std::string_view path, organisation_index organisation) const;
+    match(route_key const& wanted, organisation_index organisation) const;
 
     /// Number of routes.
     std::size_t size() const
@@ -70,14 +90,23 @@
         /// The first permitted organisation in `organisations_`, and the end.
         std::uint32_t first_organisation = 0;
         std::uint32_t last_organisation = 0;
-        /// Index of the service's name.
+        /// Index of the service's name; of a split route the first of its
+        /// parts in `parts_`.
         std::uint32_t service = 0;
+        /// Number of parts; 0 if the route is not split.
+        std::uint32_t parts = 0;
         /// Requests a second for each organisation, 0 for no limit.
         std::uint32_t limit_per_s = 0;
         /// Deadline in milliseconds.
         std::uint32_t deadline_ms = 0;
         /// Longest time of one attempt in milliseconds.
         std::uint32_t timeout_ms = 0;
+        /// Target latency in milliseconds.
+        std::uint32_t target_ms = 0;
+        /// Most upstreams that one request may be sent to.
+        std::uint16_t max_attempts = 0;
+        /// Importance of requests that state none.
+        limits::priority priority = limits::priority::normal;
         /// The next route with the same prefix, or no_route.
         std::uint32_t next = 0;
         /// Which requests may be repeated.
@@ -86,6 +115,21 @@
         bool region_permitted = false;
     };
 
+    /// A service of a split route.
+    struct split_part
+    {
+        /// Index of the service's name.
+        std::uint32_t service = 0;
+        /// Sum of the weights up to and including this part.
+        std::uint64_t weight_up_to = 0;
+    };
+
+    /// The index of a service's name, which is added if it is new.
+    std::uint32_t index_of(core::service_name const& name);
+    /// The service that answers a request.
+    std::string_view service_of(route const& item, std::uint32_t draw) const;
+    /// Whether the rest of a path behind a prefix is one of the route's.
+    bool covers(std::string_view path, std::size_t prefix_size) const;
     /// Adds one route with its permissions.
     void add(document::route_settings const& settings,
              std::uint32_t service,
@@ -100,7 +144,9 @@
     std::uint32_t find(std::string_view prefix) const;
     /// Picks among the routes of one prefix.
     core::result<matched_route, refusal_reason>
-    pick(std::uint32_t first, organisation_index organisation) const;
+    pick(std::uint32_t first,
+         std::uint32_t draw,
+         organisation_index organisation) const;
     /// Whether a route permits an organisation.
     bool permits(route const& item, organisation_index organisation) const;
 
@@ -110,6 +156,15 @@
     text_pool prefixes_;
     /// Names of the services.
     text_pool services_;
+    /// Indexes of the services' names, while the table is built.
+    std::map<core::service_name, std::uint32_t> service_indexes_;
+    /// The parts of all split routes.
+    std::vector<split_part> parts_;
+    /// Whether the routes name hosts.
+    bool by_host_ = false;
+    /// Whether everybody may use every route. Then a prefix ends with a slash
+    /// and covers only paths that have it, too.
+    bool is_open_ = false;
     /// Permitted organisations of all routes, sorted for each route.
     std::vector<std::uint32_t> organisations_;
     /// Hash table with open addressing: the first route of each prefix.
--- a/kumquatloom/cli/document_publish.cpp
+++ b/kumquatloom/cli/document_publish.cpp
@@ -5,7 +5,7 @@
 #include <kumquatloom/cli/log_session.hpp>
 #include <kumquatloom/cli/operator_client.hpp>
 #include <kumquatloom/core/clock.hpp>
-#include <kumquatloom/platform/instance_list_client.hpp>
+#include <kumquatloom/log_service/instance_list_client.hpp>
 
 #include <cxxopts.hpp>
 
@@ -70,11 +70,11 @@
         return false;
     }
     auto const list =
-        run_blocking(platform::instance_list_client(*address).read());
+        run_blocking(log_service::instance_list_client(*address).read());
     if (!list)
     {
         std::cerr << "the instance list cannot be read ("
-                  << platform::to_string(list.error()) << ")\n";
+                  << log_service::to_string(list.error()) << ")\n";
         return false;
     }
     auto const port = parsed["operators-port"].as<std::uint16_t>();
--- a/kumquatloom/cli/log_session.cpp
+++ b/kumquatloom/cli/log_session.cpp
@@ -18,7 +18,7 @@
 /// Reads without progress after which reading the log is given up.
 constexpr std::size_t max_stalled_reads = 3;
 
-std::string describe(platform::append_error error)
+std::string describe(log_service::append_error error)
 {
     return "the append failed (" + std::string(to_string(error)) + ')';
 }
@@ -38,7 +38,7 @@
     {
         auto const request = follower_.next_request();
         auto const page = run_blocking(client_.read(request.from, request.max));
-        if (!page && page.error() == platform::read_error::retention_cut)
+        if (!page && page.error() == log_service::read_error::retention_cut)
         {
             auto const range = run_blocking(client_.read_range());
             if (!range)
@@ -75,7 +75,7 @@
     report.id = edit.id;
     auto const appended = run_blocking(client_.append(document::to_text(edit)));
     bool const is_lost =
-        !appended && appended.error() == platform::append_error::unknown;
+        !appended && appended.error() == log_service::append_error::unknown;
     if (appended || is_lost)
     {
         report.reason = appended ? "the record is in the log at offset " +
--- a/kumquatloom/cli/log_session.hpp
+++ b/kumquatloom/cli/log_session.hpp
@@ -4,7 +4,7 @@
 #include <kumquatloom/document/document_reducer.hpp>
 #include <kumquatloom/document/edit_report.hpp>
 #include <kumquatloom/document/log_follower.hpp>
-#include <kumquatloom/platform/log_client.hpp>
+#include <kumquatloom/log_service/log_client.hpp>
 
 #include <chrono>
 #include <optional>
@@ -41,7 +41,7 @@
                                    std::chrono::milliseconds timeout);
 
     /// Client of the log.
-    platform::log_client client_;
+    log_service::log_client client_;
     /// The state.
     document::document_reducer reducer_;
     /// Reads the log in order.
--- a/kumquatloom/cli/main.cpp
+++ b/kumquatloom/cli/main.cpp
@@ -2,17 +2,32 @@
 
 #include <exception>
 #include <iostream>
+#include <platform/platform_command.hpp>
 
 namespace
 {
 
 using namespace kumquatloom;
 
+/// The commands of the product and those of the adapters it is built with.
+std::vector<cli::command> const& program_commands()
+{
+    static std::vector<cli::command> const commands = []
+    {
+        auto all = cli::all_commands();
+        all.push_back({"platform",
+                       "run an entry instance on the shared platform",
+                       platform::run_platform});
+        return all;
+    }();
+    return commands;
+}
+
 void print_overview(std::ostream& out)
 {
     out << "kumquatloom: a proxy fleet for upstreams with gray failures\n\n"
            "usage: kumquatloom COMMAND [OPTION...]\n\ncommands:\n";
-    for (auto const& command : cli::all_commands())
+    for (auto const& command : program_commands())
     {
         std::string name(command.name);
         name.resize(12, ' ');
@@ -34,7 +49,7 @@
         print_overview(std::cout);
         return cli::exit_success;
     }
-    for (auto const& command : cli::all_commands())
+    for (auto const& command : program_commands())
         if (command.name == arguments.front())
             return command.run({arguments.begin() + 1, arguments.end()});
     std::cerr << "unknown command '" << arguments.front() << "'\n\n";
--- a/kumquatloom/cli/operator_client.cpp
+++ b/kumquatloom/cli/operator_client.cpp
@@ -110,10 +110,10 @@
         run_blocking(client_.post("/document/edits", document::to_text(edit)));
     if (!response)
     {
-        if (response.error() == platform::http_error::not_connected)
+        if (response.error() == log_service::http_error::not_connected)
             report.result = document::edit_result::rejected;
         report.reason = "the instance did not answer (" +
-                        std::string(platform::to_string(response.error())) +
+                        std::string(log_service::to_string(response.error())) +
                         ')';
         return report;
     }
@@ -132,8 +132,8 @@
     auto response = run_blocking(client_.fetch(std::move(target)));
     if (!response)
         return operator_failure{
-            "no answer (" + std::string(platform::to_string(response.error())) +
-            ')'};
+            "no answer (" +
+            std::string(log_service::to_string(response.error())) + ')'};
     if (response.value().status != status_ok)
         return operator_failure{"status " +
                                 std::to_string(response.value().status)};
--- a/kumquatloom/cli/operator_client.hpp
+++ b/kumquatloom/cli/operator_client.hpp
@@ -5,7 +5,7 @@
 #include <kumquatloom/core/result.hpp>
 #include <kumquatloom/document/edit_record.hpp>
 #include <kumquatloom/document/edit_report.hpp>
-#include <kumquatloom/platform/http_client.hpp>
+#include <kumquatloom/log_service/http_client.hpp>
 
 #include <chrono>
 #include <optional>
@@ -64,7 +64,7 @@
     core::result<std::string, operator_failure> fetch(std::string target) const;
 
     /// Does the exchanges.
-    platform::http_client client_;
+    log_service::http_client client_;
 };
 
 } // namespace kumquatloom::cli
--- a/kumquatloom/cli/serve_command.cpp
+++ b/kumquatloom/cli/serve_command.cpp
@@ -33,13 +33,15 @@
 
 int serve(settings::instance_settings settings)
 {
-    core::configure_logging(settings.log_level);
+    core::configure_logging(settings.log_level,
+                            core::log_output::standard_output);
     entry::entry_instance instance(std::move(settings),
                                    entry::entry_instance::default_grace,
                                    entry::fleet_mode::member);
     instance.leave_on_signals();
     instance.wait();
     core::log_info("stopped");
+    core::flush_log();
     return exit_success;
 }
 
--- a/kumquatloom/control/control_plane.cpp
+++ b/kumquatloom/control/control_plane.cpp
@@ -12,12 +12,12 @@
 #include <kumquatloom/document/reduced_document.hpp>
 #include <kumquatloom/health/eject_record.hpp>
 #include <kumquatloom/health/readmit_record.hpp>
+#include <kumquatloom/log_service/log_client.hpp>
 #include <kumquatloom/membership/cell_protocol.hpp>
 #include <kumquatloom/membership/outbox.hpp>
 #include <kumquatloom/peer/frame.hpp>
 #include <kumquatloom/peer/tcp_transport.hpp>
 #include <kumquatloom/peer/udp_transport.hpp>
-#include <kumquatloom/platform/log_client.hpp>
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -565,7 +565,7 @@
             co_return true;
         if (!page)
         {
-            if (page.error() != platform::read_error::retention_cut)
+            if (page.error() != log_service::read_error::retention_cut)
             {
                 state.log_failed();
                 protocol->log_failed(core::clock::now());
@@ -641,7 +641,7 @@
     /// The replicated state.
     fleet_state state;
     /// The platform's log.
-    platform::log_client log;
+    log_service::log_client log;
     /// Appends own records.
     log_writer writer;
     /// The membership; set by start().
@@ -714,7 +714,7 @@
     document::edit_report report;
     report.id = edit.id;
     auto const appended = co_await parts.log.append(document::to_text(edit));
-    if (!appended && appended.error() != platform::append_error::unknown)
+    if (!appended && appended.error() != log_service::append_error::unknown)
     {
         report.result = document::edit_result::rejected;
         report.reason = "the log took no append: " +
--- a/kumquatloom/control/log_writer.cpp
+++ b/kumquatloom/control/log_writer.cpp
@@ -48,7 +48,7 @@
 }
 
 log_writer::log_writer(boost::asio::io_context& context,
-                       platform::log_client const& client,
+                       log_service::log_client const& client,
                        document::append_settings settings)
     : client_(client)
     , settings_(settings)
@@ -121,7 +121,7 @@
     // A record whose reply was lost may be appended again: its id is applied
     // once.
     policy_.failed(core::clock::now());
-    results_.increment(result.error() == platform::append_error::unknown
+    results_.increment(result.error() == log_service::append_error::unknown
                            ? write_result::unknown
                            : write_result::failed);
 }
--- a/kumquatloom/control/log_writer.hpp
+++ b/kumquatloom/control/log_writer.hpp
@@ -3,7 +3,7 @@
 
 #include <kumquatloom/core/counter_family.hpp>
 #include <kumquatloom/document/append_policy.hpp>
-#include <kumquatloom/platform/log_client.hpp>
+#include <kumquatloom/log_service/log_client.hpp>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -43,7 +43,7 @@
 public:
     /// Appends through the client, which must outlive the writer.
     log_writer(boost::asio::io_context& context,
-               platform::log_client const& client,
+               log_service::log_client const& client,
                document::append_settings settings);
 
     /// Runs until stop().
@@ -87,7 +87,7 @@
     boost::asio::awaitable<void> write_first();
 
     /// The log.
-    platform::log_client const& client_;
+    log_service::log_client const& client_;
     /// Settings of the policy.
     document::append_settings settings_;
     /// Limits the appends.
--- a/kumquatloom/core/logging.hpp
+++ b/kumquatloom/core/logging.hpp
@@ -1,6 +1,9 @@
 #ifndef KUMQUATLOOM_CORE_LOGGING_HPP
 #define KUMQUATLOOM_CORE_LOGGING_HPP
 
+#include <kumquatloom/core/log_value.hpp>
+
+#include <cstdint>
 #include <initializer_list>
 #include <string>
 #include <string_view>
@@ -14,12 +17,25 @@
     /// Name of the field.
     std::string_view name;
     /// Its value.
-    std::string value;
+    log_value value;
+};
+
+/// Where log lines go.
+enum class log_output
+{
+    /// For commands, whose results go to standard output.
+    standard_error,
+    /// For processes that serve.
+    standard_output
 };
 
 /// Sends log lines of at least the level ("debug", "info", "warning",
-/// "error") to standard error. Called once at the start of the process.
-void configure_logging(std::string_view level);
+/// "error") to the output. Called once at the start of the process.
+void configure_logging(std::string_view level,
+                       log_output output = log_output::standard_error);
+
+/// Adds the instance and its incarnation to every later line.
+void identify_log(std::string_view instance, std::uint64_t incarnation);
 
 /// Writes a change of state as one line of JSON.
 void log_info(std::string_view event,
@@ -33,6 +49,18 @@
 void log_error(std::string_view event,
                std::initializer_list<log_field> fields = {});
 
+/// As log_info, for decisions about requests that go well. Above a bounded
+/// number of lines a second they are left out and counted.
+void log_routine(std::string_view event,
+                 std::initializer_list<log_field> fields = {});
+
+/// Writes what has waited for the reader of the log. Lines are written in
+/// groups, so that a process calls this regularly.
+void flush_log();
+
+/// Lines that were dropped or left out so far.
+std::uint64_t dropped_log_lines();
+
 } // namespace kumquatloom::core
 
 #endif
--- a/kumquatloom/document/document.hpp
+++ b/kumquatloom/document/document.hpp
@@ -9,6 +9,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -59,13 +60,27 @@
     std::vector<core::sha256_digest> credentials;
 };
 
+/// A service that answers a part of a route's requests.
+struct service_share
+{
+    /// The service.
+    core::service_name service;
+    /// Its part, relative to the other shares of the route.
+    std::uint32_t weight = 1;
+};
+
 /// Which callers reach which service, and how.
 struct route_settings
 {
+    /// Host that the route is for, in lower case; empty for every host. Either
+    /// all routes of a document name a host or none does.
+    std::string host;
     /// Path prefix; the longest matching one wins.
     std::string prefix;
-    /// The service that answers.
+    /// The service that answers, unless the route is split.
     core::service_name service;
+    /// Services among which the requests are divided by weight.
+    std::vector<service_share> split;
     /// Organisations that may use the route.
     std::vector<core::organisation_name> organisations;
     /// Regions in which it may be used; empty means all.
@@ -77,6 +92,33 @@
     std::uint32_t limit_per_s = 0;
     /// Deadline of requests that bring none.
     std::chrono::milliseconds deadline{1000};
+    /// Time within which an answer is worth most; 0 if none is stated.
+    std::chrono::milliseconds target_latency{0};
+    /// Most upstreams that one request may be sent to.
+    unsigned max_attempts = 3;
+    /// Rank of requests that bring none: 0 is served first.
+    unsigned rank = 1;
+};
+
+/// Bounds on what callers may send, when the document states them.
+struct caller_limits
+{
+    /// Largest request header.
+    std::size_t header_bytes = 0;
+    /// Largest request body.
+    std::size_t body_bytes = 0;
+    /// Time for a request's header.
+    std::chrono::milliseconds header_timeout{0};
+    /// Time after which an idle connection is closed.
+    std::chrono::milliseconds idle_timeout{0};
+};
+
+/// Whether callers prove which organisation they belong to.
+enum class access_rule
+{
+    by_credential,
+    /// Everybody may use every route.
+    open
 };
 
 /// The configuration that is in force, in checked form.
@@ -90,6 +132,10 @@
     std::map<core::organisation_name, organisation_settings> organisations;
     /// Routes of all sections.
     std::vector<route_settings> routes;
+    /// Who may use the routes.
+    access_rule access = access_rule::by_credential;
+    /// Bounds that replace those of the settings.
+    std::optional<caller_limits> limits;
     /// Entry instances that each region has when all are well.
     std::map<core::region, unsigned> expected_entry_instances;
 };
--- a/kumquatloom/entry/caller_session.cpp
+++ b/kumquatloom/entry/caller_session.cpp
@@ -2,7 +2,6 @@
 #include <kumquatloom/entry/caller_session.hpp>
 #include <kumquatloom/entry/instance_state.hpp>
 #include <kumquatloom/entry/proxy_handler.hpp>
-#include <kumquatloom/request/header_names.hpp>
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
@@ -138,7 +137,7 @@
     idle_ = buffer_.size() == 0;
     if (!idle_)
         co_return true;
-    stream_.expires_after(state_.settings.callers.idle_timeout);
+    stream_.expires_after(limits().idle_timeout);
     auto const [error, size] = co_await stream_.async_read_some(
         buffer_.prepare(first_read_size), as_result);
     buffer_.commit(size);
@@ -148,10 +147,10 @@
 
 asio::awaitable<bool> caller_session::read_request(parser_type& parser)
 {
-    auto const& limits = state_.settings.callers;
-    parser.header_limit(static_cast<std::uint32_t>(limits.header_limit_bytes));
-    parser.body_limit(limits.body_limit_bytes);
-    stream_.expires_after(limits.header_timeout);
+    auto const bounds = limits();
+    parser.header_limit(static_cast<std::uint32_t>(bounds.header_bytes));
+    parser.body_limit(bounds.body_bytes);
+    stream_.expires_after(bounds.header_timeout);
     auto [error, size] =
         co_await http::async_read_header(stream_, buffer_, parser, as_result);
     if (!error)
@@ -159,7 +158,7 @@
         bool const allowed = co_await allow_body(parser);
         if (!allowed)
             co_return false;
-        stream_.expires_after(limits.header_timeout);
+        stream_.expires_after(bounds.header_timeout);
         auto const [body_error, body_size] =
             co_await http::async_read(stream_, buffer_, parser, as_result);
         error = body_error;
@@ -169,6 +168,18 @@
     co_return !error;
 }
 
+document::caller_limits caller_session::limits() const
+{
+    auto const document = state_.document.read();
+    if (document && document->limits)
+        return *document->limits;
+    auto const& own = state_.settings.callers;
+    return {own.header_limit_bytes,
+            own.body_limit_bytes,
+            own.header_timeout,
+            own.idle_timeout};
+}
+
 asio::awaitable<bool> caller_session::allow_body(parser_type& parser)
 {
     if (!beast::iequals(parser.get()[http::field::expect], "100-continue"))
@@ -215,7 +226,7 @@
     bool const more = keep_alive && !finishing_ &&
                       !state_.leaving.load(std::memory_order_relaxed);
     response.keep_alive(more);
-    stream_.expires_after(state_.settings.callers.idle_timeout);
+    stream_.expires_after(limits().idle_timeout);
     auto const [error, size] =
         co_await http::async_write(stream_, response, as_result);
     co_return !error && more;
@@ -229,8 +240,8 @@
         state_.events.increment(entry_event::caller_too_slow);
     if (!is_parse_error(error))
         co_return;
-    bool const has_ticket =
-        parser.get().count(request::header_names::ticket) != 0;
+    auto const& ticket = state_.dialect.ticket;
+    bool const has_ticket = !ticket.empty() && parser.get().count(ticket) != 0;
     auto response =
         handler_.refuse(reason_of(error),
                         has_ticket ? admission::ticket_presence::present
--- a/kumquatloom/entry/caller_session.hpp
+++ b/kumquatloom/entry/caller_session.hpp
@@ -1,6 +1,7 @@
 #ifndef KUMQUATLOOM_ENTRY_CALLER_SESSION_HPP
 #define KUMQUATLOOM_ENTRY_CALLER_SESSION_HPP
 
+#include <kumquatloom/document/document.hpp>
 #include <kumquatloom/entry/http_types.hpp>
 
 #include <boost/beast/core/flat_buffer.hpp>
@@ -58,6 +59,7 @@
     asio::awaitable<void> refuse(error_code error, parser_type const& parser);
     asio::awaitable<void> close();
     void watch_for_disconnect(call& current);
+    document::caller_limits limits() const;
 
     /// The connection with its timer.
     beast::tcp_stream stream_;
--- a/kumquatloom/entry/entry_event.cpp
+++ b/kumquatloom/entry/entry_event.cpp
@@ -27,6 +27,8 @@
         return "upstream-stale";
     case entry_event::upstream_leftover:
         return "upstream-leftover";
+    case entry_event::upstream_stray:
+        return "upstream-stray";
     case entry_event::late_answer:
         return "late-answer";
     case entry_event::exchange_cancelled:
--- a/kumquatloom/entry/entry_event.hpp
+++ b/kumquatloom/entry/entry_event.hpp
@@ -19,6 +19,7 @@
     upstream_reused,
     upstream_stale,
     upstream_leftover,
+    upstream_stray,
     late_answer,
     exchange_cancelled,
     ticket_forwarded,
--- a/kumquatloom/entry/exchange_result.hpp
+++ b/kumquatloom/entry/exchange_result.hpp
@@ -5,6 +5,8 @@
 #include <kumquatloom/entry/http_types.hpp>
 #include <kumquatloom/entry/memory_account.hpp>
 
+#include <string_view>
+
 namespace kumquatloom::entry
 {
 
@@ -29,6 +31,9 @@
     cancelled
 };
 
+/// The end as text for log lines.
+std::string_view to_string(exchange_end end);
+
 /// The result of sending a request to one upstream.
 struct exchange_result
 {
--- a/kumquatloom/entry/instance_state.cpp
+++ b/kumquatloom/entry/instance_state.cpp
@@ -36,15 +36,16 @@
 } // namespace
 
 instance_state::instance_state(settings::instance_settings given,
-                               core::incarnation start_number)
+                               core::incarnation start_number,
+                               request::wire_dialect const& spoken,
+                               service_policy const& given_policy)
     : settings(std::move(given))
     , incarnation(start_number)
-    , gate(header_limits(settings.callers), settings.instance.region)
+    , dialect(spoken)
+    , gate(header_limits(settings.callers), settings.instance.region, dialect)
     , rates({settings.instance.id, incarnation, started})
     , shedder(shedding(settings.callers))
-    , retry_budget({}, started)
-    , retries({}, retry_budget, retry_counters)
-    , hedging({}, retry_budget, retry_counters)
+    , policy(given_policy)
     , ticket_keys(keys_of(settings.fleet))
     , ticket_issuer(settings.instance.id, incarnation, ticket_keys)
     , ticket_table({})
--- a/kumquatloom/entry/instance_state.hpp
+++ b/kumquatloom/entry/instance_state.hpp
@@ -12,22 +12,23 @@
 #include <kumquatloom/entry/memory_account.hpp>
 #include <kumquatloom/entry/published_list.hpp>
 #include <kumquatloom/entry/rate_limiter.hpp>
+#include <kumquatloom/entry/service_policy.hpp>
 #include <kumquatloom/entry/service_state.hpp>
 #include <kumquatloom/limits/load_shedder.hpp>
-#include <kumquatloom/limits/retry_budget.hpp>
 #include <kumquatloom/request/answer_verdict.hpp>
-#include <kumquatloom/request/hedge_decider.hpp>
 #include <kumquatloom/request/retry_counters.hpp>
-#include <kumquatloom/request/retry_decider.hpp>
 #include <kumquatloom/request/ticket_decider.hpp>
 #include <kumquatloom/request/ticket_issuer.hpp>
 #include <kumquatloom/request/ticket_keys.hpp>
 #include <kumquatloom/request/ticket_table.hpp>
+#include <kumquatloom/request/wire_dialect.hpp>
+#include <kumquatloom/routing/upstream_listing.hpp>
 #include <kumquatloom/settings/instance_settings.hpp>
 
 #include <atomic>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 
 namespace kumquatloom::entry
 {
@@ -37,9 +38,12 @@
 struct instance_state
 {
     /// Starts with the settings and without a document or a list. The
-    /// incarnation must be higher than every earlier one of the instance.
+    /// incarnation must be higher than every earlier one of the instance. The
+    /// dialect must outlive the state.
     instance_state(settings::instance_settings given,
-                   core::incarnation start_number);
+                   core::incarnation start_number,
+                   request::wire_dialect const& spoken = request::own_dialect,
+                   service_policy const& given_policy = {});
     ~instance_state();
 
     /// The callers' address in use.
@@ -64,12 +68,22 @@
     settings::instance_settings const settings;
     /// Distinguishes this start of the instance from earlier ones.
     core::incarnation const incarnation;
+    /// How callers and upstreams mark their messages.
+    request::wire_dialect const& dialect;
     /// When the instance started.
     core::time_point const started = core::clock::now();
     /// The document in force.
     core::rcu_cell<document::document> document;
     /// The last reading of the platform's list.
     core::rcu_cell<published_list> instances;
+    /// Upstreams from another source than the platform's list; replaces the
+    /// list if there is one.
+    core::rcu_cell<routing::upstream_listing> listing;
+    /// When the listing was read, in ticks of the clock; 0 if it never was.
+    std::atomic<core::duration::rep> listing_as_of{0};
+    /// Told how each attempt ended, if anybody wants to know.
+    std::function<void(routing::upstream const&, health::attempt_report const&)>
+        attempt_ended;
     /// The services of the document.
     core::rcu_cell<service_table> services;
     /// The fleet's instances; null outside of a fleet.
@@ -82,12 +96,8 @@
     limits::load_shedder shedder;
     /// Counters about attempts.
     request::retry_counters retry_counters;
-    /// Pays for attempts after the first.
-    limits::retry_budget retry_budget;
-    /// Decides about another attempt after a failed one.
-    request::retry_decider const retries;
-    /// Decides about a second attempt beside the first.
-    request::hedge_decider const hedging;
+    /// How requests are retried and hedged.
+    service_policy const policy;
     /// Sign and verify tickets.
     request::ticket_keys const ticket_keys;
     /// Issues tickets.
--- a/kumquatloom/entry/list_poller.cpp
+++ b/kumquatloom/entry/list_poller.cpp
@@ -38,7 +38,7 @@
     timer_.cancel();
 }
 
-void list_poller::publish(platform::instance_list list)
+void list_poller::publish(log_service::instance_list list)
 {
     state_.instances.publish(boost::intrusive_ptr<published_list const>(
         new published_list(std::move(list))));
--- a/kumquatloom/entry/list_poller.hpp
+++ b/kumquatloom/entry/list_poller.hpp
@@ -2,7 +2,7 @@
 #define KUMQUATLOOM_ENTRY_LIST_POLLER_HPP
 
 #include <kumquatloom/entry/http_types.hpp>
-#include <kumquatloom/platform/instance_list_client.hpp>
+#include <kumquatloom/log_service/instance_list_client.hpp>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -33,7 +33,7 @@
     void stop();
 
 private:
-    void publish(platform::instance_list list);
+    void publish(log_service::instance_list list);
     void report(bool reachable);
 
     /// What all threads share.
@@ -41,7 +41,7 @@
     /// Called after each successful reading.
     std::function<void()> published_;
     /// Reads the list.
-    platform::instance_list_client client_;
+    log_service::instance_list_client client_;
     /// Wakes the next poll.
     asio::steady_timer timer_;
     /// Whether stop() was called.
--- a/kumquatloom/entry/proxy_handler.cpp
+++ b/kumquatloom/entry/proxy_handler.cpp
@@ -3,6 +3,7 @@
 #include <kumquatloom/entry/header_views.hpp>
 #include <kumquatloom/entry/instance_state.hpp>
 #include <kumquatloom/entry/proxy_handler.hpp>
+#include <kumquatloom/entry/request_journal.hpp>
 #include <kumquatloom/entry/request_run.hpp>
 #include <kumquatloom/entry/system_answer.hpp>
 #include <kumquatloom/entry/ticket_run.hpp>
@@ -16,10 +17,30 @@
 using admission::refusal_reason;
 
 /// Paths that the system answers itself.
-constexpr std::string_view own_paths = "/.kumquatloom/";
 constexpr std::string_view entries_path = "/.kumquatloom/entries";
 constexpr std::string_view tickets_path = "/.kumquatloom/tickets";
 
+/// Time after which an instance that has no document is expected to have one,
+/// and one without upstreams to see some: a read of either and its way here.
+constexpr std::chrono::milliseconds until_known{300};
+
+/// When a request that was refused before any upstream was asked may come
+/// again, if the reason goes away by itself.
+std::optional<core::duration> come_back_after(refusal_reason reason)
+{
+    switch (reason)
+    {
+    case refusal_reason::no_document:
+    case refusal_reason::no_upstream:
+    case refusal_reason::draining:
+    case refusal_reason::overloaded:
+    case refusal_reason::rate_limited:
+        return until_known;
+    default:
+        return std::nullopt;
+    }
+}
+
 /// The failure domain in the query of a request for entries, if there is one.
 /// Names with escaped characters are not found, as any unknown domain.
 core::failure_domain asked_domain(std::string_view target)
@@ -71,14 +92,23 @@
 {
     // The system answers some paths itself.
     auto const path = admission::path_of(caller.facts().target);
-    if (path.starts_with(own_paths))
+    auto const own_paths = state_.dialect.own_paths;
+    if (!own_paths.empty() && path.starts_with(own_paths))
         co_return answer_itself(caller, path);
     // Who asks, for which route, and may they?
-    auto const admitted = state_.gate.admit(caller.facts(), caller.received);
+    auto const admitted =
+        state_.gate.admit(caller.facts(),
+                          caller.received,
+                          static_cast<std::uint32_t>(parts_.random()));
     if (!admitted)
+    {
+        log_refusal(state_, caller, admitted.error());
         co_return system_answer(
             admitted.error(),
-            outcome_of(admitted.error(), ticket_of(caller.facts())));
+            outcome_of(admitted.error(),
+                       ticket_of(caller.facts(), state_.dialect)),
+            come_back_after(admitted.error()));
+    }
     co_return co_await forward(caller, admitted.value());
 }
 
@@ -86,21 +116,28 @@
                                     admission::ticket_presence ticket)
 {
     state_.gate.count(reason);
-    return system_answer(reason, outcome_of(reason, ticket));
+    return system_answer(
+        reason, outcome_of(reason, ticket), come_back_after(reason));
 }
 
 asio::awaitable<http_response>
 proxy_handler::forward(call& caller,
                        admission::admitted_request const& admitted)
 {
-    auto const ticket = ticket_of(caller.facts());
+    auto const ticket = ticket_of(caller.facts(), state_.dialect);
     // Is the organisation within its limit for the route?
     auto const document = state_.document.read();
     if (!state_.rates.try_take(admitted, *document, core::clock::now()))
+    {
+        log_refusal(state_, caller, refusal_reason::rate_limited);
         co_return refuse(refusal_reason::rate_limited, ticket);
+    }
     // Has the instance a place for a request of this priority?
     if (!state_.shedder.try_enter(admitted.priority))
+    {
+        log_refusal(state_, caller, refusal_reason::overloaded);
         co_return refuse(refusal_reason::overloaded, ticket);
+    }
     shedder_place const place(state_.shedder);
     co_return co_await run(caller, admitted);
 }
@@ -110,8 +147,11 @@
 {
     auto const queue = parts_.queues.of(admitted.service);
     if (!queue)
+    {
+        log_refusal(state_, caller, refusal_reason::no_upstream);
         co_return refuse(refusal_reason::no_upstream,
-                         ticket_of(caller.facts()));
+                         ticket_of(caller.facts(), state_.dialect));
+    }
     // A ticket decides who runs the request, and whether.
     if (admitted.ticket)
     {
--- a/kumquatloom/entry/published_list.hpp
+++ b/kumquatloom/entry/published_list.hpp
@@ -1,7 +1,7 @@
 #ifndef KUMQUATLOOM_ENTRY_PUBLISHED_LIST_HPP
 #define KUMQUATLOOM_ENTRY_PUBLISHED_LIST_HPP
 
-#include <kumquatloom/platform/instance_list.hpp>
+#include <kumquatloom/log_service/instance_list.hpp>
 
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 
@@ -14,13 +14,13 @@
 struct published_list : boost::intrusive_ref_counter<published_list>
 {
     /// Takes over a reading.
-    explicit published_list(platform::instance_list given)
+    explicit published_list(log_service::instance_list given)
         : list(std::move(given))
     {
     }
 
     /// The reading.
-    platform::instance_list list;
+    log_service::instance_list list;
 };
 
 } // namespace kumquatloom::entry
--- /dev/null
+++ b/kumquatloom/entry/request_journal.cpp
@@ -0,0 +1,128 @@
+#include <kumquatloom/core/logging.hpp>
+#include <kumquatloom/entry/call.hpp>
+#include <kumquatloom/entry/instance_state.hpp>
+#include <kumquatloom/entry/request_journal.hpp>
+#include <kumquatloom/routing/upstream.hpp>
+
+#include <chrono>
+
+namespace kumquatloom::entry
+{
+
+namespace
+{
+
+std::int64_t to_ms(core::duration time)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+}
+
+/// The id that the caller sent; empty if it sent none.
+std::string id_of(instance_state const& state, call const& caller)
+{
+    auto const id =
+        request::find_field(caller.facts().fields, state.dialect.request_id);
+    return std::string(id.value_or(std::string_view()));
+}
+
+/// Age of the list of upstreams in milliseconds; -1 if there is none.
+std::int64_t listing_age_ms(instance_state const& state, core::time_point now)
+{
+    core::time_point const as_of(
+        core::duration(state.listing_as_of.load(std::memory_order_relaxed)));
+    return as_of == core::time_point() ? -1 : to_ms(now - as_of);
+}
+
+} // namespace
+
+void log_refusal(instance_state const& state,
+                 call const& caller,
+                 admission::refusal_reason reason)
+{
+    auto const table = state.gate.table();
+    core::log_info("request_refused",
+                   {{"request", id_of(state, caller)},
+                    {"target", caller.facts().target},
+                    {"reason", to_string(reason)},
+                    {"status", http_status(reason)},
+                    {"document", table ? table->version() : 0}});
+}
+
+request_journal::request_journal(instance_state const& state,
+                                 call const& caller,
+                                 admission::admitted_request const& admitted)
+    : state_(state)
+    , call_(caller)
+    , admitted_(admitted)
+    , id_(id_of(state, caller))
+{
+}
+
+void request_journal::attempt_started(std::size_t number,
+                                      routing::pick const& chosen,
+                                      std::string_view cause) const
+{
+    auto const now = core::clock::now();
+    auto const& upstream = *chosen.object;
+    core::log_routine("attempt_started",
+                      {{"request", id_},
+                       {"attempt", number},
+                       {"cause", cause},
+                       {"service", admitted_.service.value()},
+                       {"upstream", upstream.endpoint().id.value()},
+                       {"distance", to_string(chosen.kind)},
+                       {"standing", to_string(upstream.standing(now))},
+                       {"in_flight", upstream.in_flight()},
+                       {"known_in_flight", upstream.known_in_flight()},
+                       {"slots", upstream.endpoint().slots},
+                       {"list_age_ms", listing_age_ms(state_, now)},
+                       {"document", admitted_.table->version()},
+                       {"waited_ms", to_ms(now - call_.received)},
+                       {"left_ms", to_ms(admitted_.until.left(now))}});
+}
+
+void request_journal::attempt_ended(std::size_t number,
+                                    routing::pick const& chosen,
+                                    exchange_result const& result) const
+{
+    bool const answered = result.end == exchange_end::answered;
+    auto const write = answered ? core::log_routine : core::log_info;
+    write("attempt_ended",
+          {{"request", id_},
+           {"attempt", number},
+           {"upstream", chosen.object->endpoint().id.value()},
+           {"end", to_string(result.end)},
+           {"status", answered ? result.answer.result_int() : 0U},
+           {"latency_ms", to_ms(result.latency)}});
+}
+
+void request_journal::answered(unsigned status,
+                               request::outcome outcome,
+                               std::optional<admission::refusal_reason> reason,
+                               std::size_t attempts,
+                               std::size_t waiting) const
+{
+    auto const now = core::clock::now();
+    auto const total = now - call_.received;
+    auto const target = admitted_.route.target_latency;
+    bool const late = target.count() != 0 && total > target;
+    // What callers complain about is written whatever the load.
+    bool const is_routine = !reason && !late && status < 500;
+    auto const write = is_routine ? core::log_routine : core::log_info;
+    write("request_answered",
+          {{"request", id_},
+           {"route", admitted_.route.prefix},
+           {"service", admitted_.service.value()},
+           {"status", status},
+           {"outcome", to_string(outcome)},
+           {"reason", reason ? to_string(*reason) : std::string_view()},
+           {"attempts", attempts},
+           {"total_ms", to_ms(total)},
+           {"target_ms", target.count()},
+           {"late", late},
+           {"waiting", waiting},
+           {"caller_left", call_.caller_left.requested()},
+           {"document", admitted_.table->version()}});
+}
+
+} // namespace kumquatloom::entry
--- a/kumquatloom/entry/request_run.cpp
+++ b/kumquatloom/entry/request_run.cpp
@@ -9,6 +9,8 @@
 
 #include <boost/asio/co_spawn.hpp>
 
+#include <algorithm>
+#include <random>
 #include <utility>
 
 namespace kumquatloom::entry
@@ -21,6 +23,12 @@
 using health::attempt_result;
 using request::retry_reason;
 
+/// Bounds of the random factor of the time after which callers may come back.
+constexpr double least_spread = 0.5;
+constexpr double most_spread = 1.5;
+/// Least mean of that time: less would bring a refused caller back before any
+/// slot is free.
+constexpr std::chrono::milliseconds least_come_back{100};
 /// Status codes from here on blame the upstream.
 constexpr unsigned first_server_error = 500;
 
@@ -108,6 +116,7 @@
     , call_(caller)
     , admitted_(admitted)
     , queue_(queue)
+    , journal_(parts.state, caller, admitted)
     , ended_(ended)
     , attempts_(admitted.repeat, admitted.until)
     , wake_(parts.context)
@@ -116,14 +125,19 @@
 
 asio::awaitable<http_response> request_run::run()
 {
-    parts_.state.retry_budget.request_received();
+    queue_.service().budget.request_received();
     bool const may_be_trial =
         admitted_.repeat == request::idempotency::idempotent;
     // Wait for a slot at an upstream.
-    auto chosen = co_await queue_.take({admitted_.organisation,
-                                        {{}, may_be_trial, parts_.random()},
-                                        admitted_.until,
-                                        ended_});
+    auto const target = admitted_.route.target_latency;
+    auto chosen =
+        co_await queue_.take({admitted_.organisation,
+                              {{}, may_be_trial, parts_.random()},
+                              admitted_.until,
+                              admitted_.priority,
+                              target.count() == 0 ? core::time_point::max()
+                                                  : call_.received + target,
+                              ended_});
     if (!chosen)
     {
         refusal_ = chosen.error();
@@ -138,7 +152,7 @@
         });
     ended_.wait_for(on_end);
     // Make attempts until one has an answer or another one is not permitted.
-    start(std::move(chosen.value()));
+    start(std::move(chosen.value()), "first");
     while (!answer_ || attempts_.running() != 0)
     {
         co_await wait_for_event();
@@ -153,7 +167,7 @@
     co_return conclude();
 }
 
-void request_run::start(routing::pick chosen)
+void request_run::start(routing::pick chosen, std::string_view cause)
 {
     auto const now = core::clock::now();
     auto const number = attempts_.start(now);
@@ -163,6 +177,7 @@
         number,
         admitted_.until.of_attempt(now, admitted_.route.attempt_timeout)));
     auto& item = *running_.back();
+    journal_.attempt_started(number, item.chosen, cause);
     if (ended_.requested())
         item.ended.request();
     if (auto const limits = queue_.service().limits.read())
@@ -196,7 +211,8 @@
                                 attempts_,
                                 item.number,
                                 item.until,
-                                item.ended});
+                                item.ended,
+                                item.chosen.object->endpoint()});
     item.result = co_await exchange.run(*pool);
 }
 
@@ -219,7 +235,7 @@
                            attempts_.attempts() == 1 &&
                            attempts_.running() == 1 &&
                            admitted_.repeat == request::idempotency::idempotent;
-    return may_hedge ? parts_.state.hedging.due(
+    return may_hedge ? queue_.service().hedging.due(
                            attempts_, queue_.service().latency.value())
                      : core::time_point::max();
 }
@@ -227,6 +243,7 @@
 void request_run::finish(attempt& item)
 {
     auto const result = judge(item.result);
+    journal_.attempt_ended(item.number, item.chosen, item.result);
     report(item, result);
     read_notices(item);
     auto& state = parts_.state;
@@ -262,8 +279,11 @@
     auto const latency = item.result.latency;
     auto const limit = item.until.at() - attempts_.started(item.number);
     auto& service = queue_.service();
-    service.picker.finished(
-        item.chosen, {upstream->endpoint().id, result, latency, limit}, now);
+    health::attempt_report const told{
+        upstream->endpoint().id, result, latency, limit};
+    service.picker.finished(item.chosen, told, now);
+    if (parts_.state.attempt_ended)
+        parts_.state.attempt_ended(*upstream, told);
     parts_.state.attempt_latency.record(now - attempts_.started(item.number));
     if (item.limit)
     {
@@ -311,10 +331,11 @@
         return;
     hedge_decided_ = true;
     auto const p95 = queue_.service().latency.value();
-    if (!parts_.state.hedging.decide(attempts_, p95, now))
+    if (!queue_.service().hedging.decide(
+            attempts_, p95, now, admitted_.route.max_attempts))
         return;
     if (auto other = choose_another())
-        start(std::move(*other));
+        start(std::move(*other), "hedge");
 }
 
 bool request_run::retry()
@@ -323,12 +344,13 @@
         return false;
     if (!attempts_.last_failure())
         return false;
-    if (!parts_.state.retries.decide(attempts_, core::clock::now()))
+    if (!queue_.service().retries.decide(
+            attempts_, core::clock::now(), admitted_.route.max_attempts))
         return false;
     auto other = choose_another();
     if (!other)
         return false;
-    start(std::move(*other));
+    start(std::move(*other), to_string(*attempts_.last_failure()));
     return true;
 }
 
@@ -360,16 +382,45 @@
             attempts_.completed(item->number);
             answer_ = std::move(item->result);
         }
+    state.retry_counters.outcomes.increment(attempts_.final_outcome());
+    return answer_ ? answer_of_upstream() : refuse(final_reason());
+}
+
+http_response request_run::answer_of_upstream()
+{
+    auto const status = answer_->answer.result_int();
+    // Without the upstream's proof such a status would be a false promise.
+    if (parts_.state.dialect.status_states_refusal &&
+        admission::states_not_run(status))
+        return refuse(refusal_reason::upstream_failure);
+    journal_.answered(status,
+                      request::outcome::completed,
+                      std::nullopt,
+                      attempts_.attempts(),
+                      queue_.waiting());
+    call_.memory = std::move(answer_->memory);
+    return caller_answer(std::move(answer_->answer));
+}
+
+http_response request_run::refuse(refusal_reason reason)
+{
     auto const outcome = attempts_.final_outcome();
-    state.retry_counters.outcomes.increment(outcome);
-    if (answer_)
-    {
-        call_.memory = std::move(answer_->memory);
-        return caller_answer(std::move(answer_->answer));
-    }
-    auto const reason = final_reason();
-    state.gate.count(reason);
-    return system_answer(reason, outcome);
+    parts_.state.gate.count(reason);
+    journal_.answered(http_status(reason),
+                      outcome,
+                      reason,
+                      attempts_.attempts(),
+                      queue_.waiting());
+    if (outcome != request::outcome::not_run)
+        return system_answer(reason, outcome);
+    // Spreads the callers that were refused together.
+    std::uniform_real_distribution<double> spread(least_spread, most_spread);
+    auto const room =
+        std::max<core::duration>(queue_.time_to_room(), least_come_back);
+    return system_answer(reason,
+                         outcome,
+                         std::chrono::duration_cast<core::duration>(
+                             room * spread(parts_.random)));
 }
 
 refusal_reason request_run::final_reason() const
@@ -388,7 +439,8 @@
         return not_run ? refusal_reason::overloaded
                        : refusal_reason::upstream_failure;
     case retry_reason::timeout:
-        return refusal_reason::deadline_passed;
+        return not_run ? refusal_reason::overloaded
+                       : refusal_reason::deadline_passed;
     case retry_reason::wrong_answer:
         return refusal_reason::wrong_answer;
     default:
--- a/kumquatloom/entry/request_run.hpp
+++ b/kumquatloom/entry/request_run.hpp
@@ -5,6 +5,7 @@
 #include <kumquatloom/core/clock.hpp>
 #include <kumquatloom/entry/cancellation.hpp>
 #include <kumquatloom/entry/exchange_result.hpp>
+#include <kumquatloom/entry/request_journal.hpp>
 #include <kumquatloom/entry/slot_queue.hpp>
 #include <kumquatloom/entry/worker_parts.hpp>
 #include <kumquatloom/request/attempt_state.hpp>
@@ -17,6 +18,7 @@
 #include <exception>
 #include <memory>
 #include <optional>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -67,7 +69,7 @@
         exchange_result result;
     };
 
-    void start(routing::pick chosen);
+    void start(routing::pick chosen, std::string_view cause);
     asio::awaitable<void> exchange(attempt& item);
     asio::awaitable<void> wait_for_event();
     core::time_point next_event() const;
@@ -81,6 +83,8 @@
     void cancel_attempts();
     http_response conclude();
     admission::refusal_reason final_reason() const;
+    http_response answer_of_upstream();
+    http_response refuse(admission::refusal_reason reason);
 
     /// What the worker's requests use together.
     worker_parts& parts_;
@@ -90,6 +94,8 @@
     admission::admitted_request const& admitted_;
     /// Waits for slots of the service.
     slot_queue& queue_;
+    /// Logs what is decided.
+    request_journal journal_;
     /// Requested when nobody needs the answer.
     cancellation& ended_;
     /// What is known about all attempts.
--- a/kumquatloom/entry/service_control.cpp
+++ b/kumquatloom/entry/service_control.cpp
@@ -9,18 +9,27 @@
 namespace kumquatloom::entry
 {
 
+namespace
+{
+
+/// Stands for the number of slots that the document states for a service.
+constexpr unsigned slots_of_service = 0;
+
+} // namespace
+
 /// One service as the control thread sees it.
 struct service_control::controlled_service
 {
     controlled_service(core::service_name const& name,
                        document::service_settings const& given,
-                       settings::identity_settings const& self)
-        : shared(new service_state(name))
+                       instance_state& state)
+        : shared(new service_state(
+              name, state.policy, state.retry_counters, core::clock::now()))
         , settings(given)
         , monitor(
               {name,
-               self.id,
-               self.failure_domain,
+               state.settings.instance.id,
+               state.settings.instance.failure_domain,
                health::outlier_detector_settings::for_level(given.detection)})
     {
     }
@@ -49,7 +58,7 @@
     auto const document = state_.document.read();
     if (!document)
         return;
-    auto const list = state_.instances.read();
+    auto const all = all_upstreams();
     bool changed =
         std::erase_if(services_,
                       [&](auto const& item)
@@ -59,10 +68,7 @@
     for (auto const& [name, settings] : document->services)
     {
         changed = changed || !services_.contains(name);
-        relist(controlled(name, settings),
-               settings,
-               list ? &list->list : nullptr,
-               now);
+        relist(controlled(name, settings), settings, all, now);
     }
     if (changed)
         publish_services();
@@ -104,8 +110,7 @@
 {
     auto& place = services_[name];
     if (!place)
-        place = std::make_unique<controlled_service>(
-            name, settings, state_.settings.instance);
+        place = std::make_unique<controlled_service>(name, settings, state_);
     if (place->settings.detection != settings.detection)
         place->monitor.change_detection(
             health::outlier_detector_settings::for_level(settings.detection));
@@ -121,23 +126,42 @@
     state_.services.publish(std::move(table));
 }
 
+std::vector<routing::listed_upstream> service_control::all_upstreams() const
+{
+    if (auto const listing = state_.listing.read())
+        return listing->upstreams;
+    std::vector<routing::listed_upstream> all;
+    if (auto const list = state_.instances.read())
+        for (auto const& item : list->list.upstreams)
+            all.push_back({{item.id,
+                            item.service,
+                            item.host,
+                            item.port,
+                            item.domain,
+                            item.region,
+                            slots_of_service},
+                           item.leaving,
+                           std::nullopt});
+    return all;
+}
+
 void service_control::relist(controlled_service& service,
                              document::service_settings const& settings,
-                             platform::instance_list const* list,
+                             std::vector<routing::listed_upstream> const& all,
                              core::time_point now)
 {
     std::vector<routing::listed_upstream> listed;
-    if (list != nullptr)
-        for (auto const& item : list->upstreams)
-            if (item.service == service.shared->name)
-                listed.push_back({{item.id,
-                                   item.service,
-                                   item.host,
-                                   item.port,
-                                   item.domain,
-                                   item.region,
-                                   settings.slots},
-                                  item.leaving});
+    std::size_t slots = 0;
+    for (auto const& item : all)
+    {
+        if (item.endpoint.service != service.shared->name)
+            continue;
+        listed.push_back(item);
+        if (item.endpoint.slots == slots_of_service)
+            listed.back().endpoint.slots = settings.slots;
+        if (!item.leaving)
+            slots += listed.back().endpoint.slots;
+    }
     auto const& self = state_.settings.instance;
     auto const table =
         routing::upstream_table::build(service.shared->picker.table(),
@@ -149,6 +173,8 @@
     boost::intrusive_ptr<upstream_limits> limits(new upstream_limits);
     for (auto const& entry : table->entries())
     {
+        if (!state_.policy.follows_latency)
+            break;
         auto const* const key = entry.object.get();
         auto& limit = limits->by_upstream[key];
         if (known && known->by_upstream.contains(key))
@@ -156,7 +182,7 @@
         else
             limit = new upstream_limit(settings.slots);
     }
-    service.shared->slots = table->live().size() * settings.slots;
+    service.shared->slots = slots;
     service.shared->limits.publish(std::move(limits));
     service.monitor.track(table->tracked(), now);
     service.shared->picker.publish(table);
--- a/kumquatloom/entry/service_control.hpp
+++ b/kumquatloom/entry/service_control.hpp
@@ -7,6 +7,7 @@
 #include <kumquatloom/entry/service_state.hpp>
 #include <kumquatloom/health/ejection_slot.hpp>
 #include <kumquatloom/health/health_monitor.hpp>
+#include <kumquatloom/routing/upstream_endpoint.hpp>
 
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 
@@ -14,11 +15,6 @@
 #include <memory>
 #include <vector>
 
-namespace kumquatloom::platform
-{
-struct instance_list;
-} // namespace kumquatloom::platform
-
 namespace kumquatloom::entry
 {
 
@@ -56,9 +52,10 @@
     controlled_service& controlled(core::service_name const& name,
                                    document::service_settings const& settings);
     void publish_services();
+    std::vector<routing::listed_upstream> all_upstreams() const;
     void relist(controlled_service& service,
                 document::service_settings const& settings,
-                platform::instance_list const* list,
+                std::vector<routing::listed_upstream> const& all,
                 core::time_point now);
     void evaluate(controlled_service& service, core::time_point now);
 
--- a/kumquatloom/entry/service_state.hpp
+++ b/kumquatloom/entry/service_state.hpp
@@ -3,6 +3,7 @@
 
 #include <kumquatloom/core/ids.hpp>
 #include <kumquatloom/core/rcu_cell.hpp>
+#include <kumquatloom/entry/service_policy.hpp>
 #include <kumquatloom/limits/concurrency_limit.hpp>
 #include <kumquatloom/limits/deadline_admission.hpp>
 #include <kumquatloom/limits/latency_quantile.hpp>
@@ -45,11 +46,18 @@
 /// names it while requests use it.
 struct service_state : boost::intrusive_ref_counter<service_state>
 {
-    /// Starts without an upstream.
-    explicit service_state(core::service_name given)
+    /// Starts without an upstream. The counters must outlive the service.
+    service_state(core::service_name given,
+                  service_policy const& policy,
+                  request::retry_counters& counters,
+                  core::time_point now)
         : name(std::move(given))
-        , admission({})
-        , latency({})
+        , picker(policy.choice)
+        , budget(policy.budget, now)
+        , retries(policy.retries, budget, counters)
+        , hedging(policy.hedging, budget, counters)
+        , admission(policy.admission)
+        , latency(policy.latency)
     {
     }
 
@@ -57,6 +65,13 @@
     core::service_name const name;
     /// Chooses the upstream of each attempt.
     routing::picker picker;
+    /// Pays for attempts after the first, so that a sick service cannot spend
+    /// what the others need.
+    limits::retry_budget budget;
+    /// Decides about another attempt after a failed one.
+    request::retry_decider const retries;
+    /// Decides about a second attempt beside the first.
+    request::hedge_decider const hedging;
     /// Refuses requests that cannot be answered in time.
     limits::deadline_admission admission;
     /// Estimates the latency after which a request is hedged.
--- a/kumquatloom/entry/slot_queue.cpp
+++ b/kumquatloom/entry/slot_queue.cpp
@@ -12,7 +12,7 @@
 
 /// How often slots are looked for that were not freed by this worker. Only
 /// while requests wait.
-constexpr std::chrono::milliseconds pump_interval{1};
+constexpr std::chrono::milliseconds pump_interval{2};
 
 } // namespace
 
@@ -36,10 +36,9 @@
 slot_queue::take_now(waiting_request const& wanted)
 {
     auto const now = core::clock::now();
-    auto const waiting = service_->waiting.load(std::memory_order_relaxed);
     if (!service_->admission.admits(
             wanted.until.left(now),
-            waiting,
+            queue_.ahead_of(wanted.urgency),
             service_->slots.load(std::memory_order_relaxed),
             now))
         return result(core::failure(refusal_reason::deadline_too_short));
@@ -57,7 +56,8 @@
 asio::awaitable<slot_queue::result> slot_queue::wait(waiting_request wanted)
 {
     waiter_pointer const self(new waiter(context_));
-    auto admitted = queue_.push(wanted.organisation, self);
+    auto admitted = queue_.push(
+        wanted.organisation, wanted.urgency, latest_start(wanted.target), self);
     if (admitted.displaced)
     {
         (*admitted.displaced)->displaced = true;
@@ -66,7 +66,8 @@
     if (!admitted.queued)
         co_return core::failure(refusal_reason::queue_full);
     schedule();
-    self->timer.expires_at(wanted.until.at());
+    // A request that starts later than this cannot be answered in time.
+    self->timer.expires_at(latest_start(wanted.until.at()));
     interruption on_cancel(
         [&self]
         {
@@ -80,7 +81,7 @@
     if (self->found)
         co_return core::success(std::move(*self->found));
     co_return core::failure(self->displaced ? refusal_reason::queue_full
-                                            : refusal_reason::deadline_passed);
+                                            : refusal_reason::overloaded);
 }
 
 void slot_queue::pump()
@@ -88,14 +89,14 @@
     while (queue_.size() != 0)
     {
         auto const now = core::clock::now();
-        auto chosen = service_->picker.choose({}, now);
+        auto chosen = service_->picker.choose({{}, false, ++draws_}, now);
         // Without any upstream those that wait may as well go on waiting:
         // the list lags, and their deadline ends the wait.
         if (!chosen)
             return;
-        auto next = queue_.pop();
+        auto next = queue_.pop(now);
         while (next && (*next)->gone)
-            next = queue_.pop();
+            next = queue_.pop(now);
         if (!next)
         {
             service_->picker.finished(chosen.value(),
@@ -111,6 +112,19 @@
     }
 }
 
+core::duration slot_queue::time_to_room() const
+{
+    return service_->admission.estimate(
+        queue_.size(), service_->slots.load(std::memory_order_relaxed));
+}
+
+core::time_point slot_queue::latest_start(core::time_point answer_by) const
+{
+    return answer_by == core::time_point::max()
+               ? answer_by
+               : answer_by - service_->admission.needed_time();
+}
+
 void slot_queue::schedule()
 {
     if (scheduled_ || queue_.size() == 0)
--- a/kumquatloom/entry/slot_queue.hpp
+++ b/kumquatloom/entry/slot_queue.hpp
@@ -7,7 +7,8 @@
 #include <kumquatloom/entry/cancellation.hpp>
 #include <kumquatloom/entry/http_types.hpp>
 #include <kumquatloom/entry/service_state.hpp>
-#include <kumquatloom/limits/fair_queue.hpp>
+#include <kumquatloom/limits/priority.hpp>
+#include <kumquatloom/limits/urgency_queue.hpp>
 #include <kumquatloom/request/deadline.hpp>
 #include <kumquatloom/routing/pick.hpp>
 
@@ -16,13 +17,16 @@
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 
+#include <cstddef>
+#include <cstdint>
 #include <optional>
 
 namespace kumquatloom::entry
 {
 
 /// The requests of one worker that wait for a free slot at an upstream of one
-/// service. Organisations are served in turn.
+/// service. Those that can still be answered in time come first, by priority;
+/// organisations are served in turn.
 class slot_queue
     : public boost::intrusive_ref_counter<slot_queue,
                                           boost::thread_unsafe_counter>
@@ -40,6 +44,10 @@
         routing::pick_request choice;
         /// When the request is worth nothing any more.
         request::deadline until;
+        /// Its importance.
+        limits::priority urgency = limits::priority::normal;
+        /// When it is to be answered to be worth most.
+        core::time_point target = core::time_point::max();
         /// Ends the wait before.
         cancellation& ended;
     };
@@ -54,6 +62,15 @@
     /// Gives free slots to those that wait.
     void pump();
 
+    /// Requests that wait.
+    std::size_t waiting() const
+    {
+        return queue_.size();
+    }
+
+    /// Time after which a request that was refused may find room.
+    core::duration time_to_room() const;
+
     /// The service.
     service_state& service() const
     {
@@ -86,15 +103,18 @@
     asio::awaitable<result> wait(waiting_request wanted);
     void schedule();
     static void wake(waiter& item);
+    core::time_point latest_start(core::time_point answer_by) const;
 
     /// Runs the timers.
     asio::io_context& context_;
     /// The service.
     boost::intrusive_ptr<service_state> service_;
     /// Those that wait.
-    limits::fair_queue<waiter_pointer> queue_;
+    limits::urgency_queue<waiter_pointer> queue_;
     /// Looks for slots that other workers or time have freed.
     asio::steady_timer timer_;
+    /// Choices made for those that wait; varies the choice among equals.
+    std::uint64_t draws_ = 0;
     /// Whether the timer runs.
     bool scheduled_ = false;
 };
--- a/kumquatloom/entry/upstream_exchange.cpp
+++ b/kumquatloom/entry/upstream_exchange.cpp
@@ -3,10 +3,10 @@
 #include <kumquatloom/entry/call.hpp>
 #include <kumquatloom/entry/header_views.hpp>
 #include <kumquatloom/entry/instance_state.hpp>
+#include <kumquatloom/entry/keep_alive_time.hpp>
 #include <kumquatloom/entry/upstream_exchange.hpp>
 #include <kumquatloom/request/answer_check.hpp>
 #include <kumquatloom/request/content_digest.hpp>
-#include <kumquatloom/request/header_names.hpp>
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
@@ -25,8 +25,8 @@
 namespace
 {
 
-namespace names = request::header_names;
-
+/// Answers to earlier requests that are skipped on one connection.
+constexpr unsigned max_stray_answers = 4;
 /// Largest header of an upstream's answer.
 constexpr std::uint32_t answer_header_limit = 64 * 1024;
 
@@ -49,6 +49,17 @@
                make_error_code(http::error::end_of_stream).category();
 }
 
+/// The id that the upstream is to echo.
+core::request_id id_of(instance_state const& state, call const& caller)
+{
+    auto const& dialect = state.dialect;
+    if (!dialect.keeps_request_id)
+        return next_request_id();
+    auto const sent =
+        request::find_field(caller.facts().fields, dialect.request_id);
+    return core::request_id(std::string(sent.value_or(std::string_view())));
+}
+
 /// Whether the answer states a SHA-256 digest of its body.
 bool has_digest(http_response const& answer)
 {
@@ -62,14 +73,19 @@
 upstream_exchange::upstream_exchange(instance_state& state, task const& given)
     : state_(state)
     , task_(given)
-    , id_(next_request_id())
+    , id_(id_of(state, given.caller))
 {
 }
 
 asio::awaitable<exchange_result> upstream_exchange::run(upstream_pool& pool)
 {
     state_.events.increment(entry_event::attempt_started);
-    auto lease = co_await pool.acquire(task_.ended, task_.until.at());
+    bool const repeatable =
+        task_.attempts.repeat() == request::idempotency::idempotent;
+    auto lease = co_await pool.acquire(
+        task_.ended,
+        task_.until.at(),
+        repeatable ? core::duration::max() : state_.policy.unsafe_reuse_idle);
     if (lease)
         co_await exchange(lease.value());
     else
@@ -92,16 +108,37 @@
     bool const written = co_await write(connection);
     if (!written)
         co_return;
-    parser_type parser;
-    bool const complete = co_await read(connection, parser);
-    result_.latency = core::clock::now() - sent_at_;
-    if (!complete || !accept(parser))
+    for (unsigned strays = 0;; ++strays)
+    {
+        parser_type parser;
+        bool const complete = co_await read(connection, parser);
+        result_.latency = core::clock::now() - sent_at_;
+        if (!complete)
+            co_return;
+        // The answer to an earlier request; the own one may follow.
+        if (strays < max_stray_answers && is_stray(parser.get()))
+            continue;
+        auto const keep_for = keep_alive_time(parser.get());
+        if (!accept(parser))
+            co_return;
+        // A connection is kept only after a whole exchange without leftovers.
+        if (parser.keep_alive() && strays == 0 && connection.quiet())
+            lease.give_back(keep_for);
+        else if (parser.keep_alive())
+            state_.events.increment(entry_event::upstream_leftover);
         co_return;
-    // A connection is kept only after a whole exchange without leftovers.
-    if (parser.keep_alive() && connection.quiet())
-        lease.give_back();
-    else if (parser.keep_alive())
-        state_.events.increment(entry_event::upstream_leftover);
+    }
+}
+
+bool upstream_exchange::is_stray(http_response const& answer)
+{
+    if (!state_.dialect.keeps_request_id)
+        return false;
+    auto const id = answer[state_.dialect.request_id];
+    if (id.empty() || as_view(id) == id_.value())
+        return false;
+    state_.events.increment(entry_event::upstream_stray);
+    return true;
 }
 
 asio::awaitable<bool> upstream_exchange::write(upstream_connection& connection)
@@ -168,7 +205,9 @@
     auto& answer = parser.get();
     // The last chunk ends a body as surely as a length. A body that ends with
     // the connection is complete only if its digest says so.
-    bool const ended = parser.chunked() || has_digest(answer);
+    bool const is_signed = !state_.dialect.signature.empty() &&
+                           answer.count(state_.dialect.signature) != 0;
+    bool const ended = parser.chunked() || has_digest(answer) || is_signed;
     if (!parser.content_length() && ended)
     {
         answer.erase(http::field::transfer_encoding);
@@ -181,7 +220,8 @@
          answer.result_int(),
          fields,
          answer.body()},
-        id_);
+        id_,
+        state_.dialect);
     state_.verdicts.increment(verdict);
     if (verdict == request::answer_verdict::refused)
         result_.end = exchange_end::refused;
@@ -212,16 +252,20 @@
 std::string upstream_exchange::request_head() const
 {
     auto const& request = task_.caller.request;
+    auto const& dialect = state_.dialect;
     std::string head(request.method_string());
     head.append(" ").append(request.target()).append(" HTTP/1.1\r\n");
     for (auto const& field :
-         admission::fields_for_upstream(task_.caller.facts().fields))
+         admission::fields_for_upstream(task_.caller.facts().fields, dialect))
         if (!request::same_name(field.name, "Content-Length"))
             append_header(field.name, field.value, head);
-    append_header(names::request_id, id_.value(), head);
-    append_header(names::organisation, task_.organisation.value(), head);
+    append_header(dialect.request_id, id_.value(), head);
+    if (!dialect.organisation.empty())
+        append_header(dialect.organisation, task_.organisation.value(), head);
+    if (!dialect.expected_upstream.empty())
+        append_header(dialect.expected_upstream, task_.target.id.value(), head);
     auto const left = task_.until.left_ms(core::clock::now());
-    append_header(names::deadline_ms, std::to_string(left.count()), head);
+    append_header(dialect.deadline, std::to_string(left.count()), head);
     // Methods that usually have a body state that there is none.
     bool const states_length = !request.body().empty() ||
                                request.method() == http::verb::post ||
--- a/kumquatloom/entry/upstream_exchange.hpp
+++ b/kumquatloom/entry/upstream_exchange.hpp
@@ -8,6 +8,7 @@
 #include <kumquatloom/entry/upstream_pool.hpp>
 #include <kumquatloom/request/attempt_state.hpp>
 #include <kumquatloom/request/deadline.hpp>
+#include <kumquatloom/routing/upstream_endpoint.hpp>
 
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
@@ -40,6 +41,8 @@
         request::deadline until;
         /// Ends the attempt before.
         cancellation& ended;
+        /// Where the request goes.
+        routing::upstream_endpoint const& target;
     };
 
     /// Does not start yet.
@@ -57,6 +60,7 @@
                                parser_type& parser);
     asio::awaitable<bool> read_body(upstream_connection& connection,
                                     parser_type& parser);
+    bool is_stray(http_response const& answer);
     bool accept(parser_type& parser);
     bool fail(exchange_end end);
     bool fail(error_code error);
@@ -66,7 +70,7 @@
     instance_state& state_;
     /// What to do.
     task task_;
-    /// Identifies this attempt; the upstream echoes it.
+    /// Identifies the request or this attempt; the upstream echoes it.
     core::request_id const id_;
     /// When the first byte was sent.
     core::time_point sent_at_;
--- a/kumquatloom/entry/upstream_pool.cpp
+++ b/kumquatloom/entry/upstream_pool.cpp
@@ -23,9 +23,9 @@
     pool_->release_place();
 }
 
-void upstream_pool::lease::give_back()
+void upstream_pool::lease::give_back(std::optional<core::duration> keep_for)
 {
-    pool_->give_back(std::move(connection_));
+    pool_->give_back(std::move(connection_), keep_for);
 }
 
 upstream_pool::upstream_pool(asio::io_context& context,
@@ -40,9 +40,11 @@
 }
 
 asio::awaitable<core::result<upstream_pool::lease, exchange_end>>
-upstream_pool::acquire(cancellation& ended, core::time_point deadline)
+upstream_pool::acquire(cancellation& ended,
+                       core::time_point deadline,
+                       core::duration max_idle)
 {
-    auto connection = take_idle();
+    auto connection = take_idle(max_idle);
     if (!connection)
     {
         bool const granted =
@@ -58,13 +60,18 @@
     co_return co_await connect(ended, deadline);
 }
 
-std::unique_ptr<upstream_connection> upstream_pool::take_idle()
+std::unique_ptr<upstream_connection>
+upstream_pool::take_idle(core::duration max_idle)
 {
-    while (!idle_.empty())
+    auto const now = core::clock::now();
+    // The last one was used last; if it is too old for the request, so are the
+    // others.
+    while (!idle_.empty() && now - idle_.back().since <= max_idle)
     {
+        auto const until = idle_.back().until;
         auto connection = std::move(idle_.back().connection);
         idle_.pop_back();
-        if (connection->quiet())
+        if (now < until && connection->quiet())
             return connection;
         state_.events.increment(entry_event::upstream_stale);
         connection->close();
@@ -119,11 +126,13 @@
 
 void upstream_pool::close_idle(core::time_point unused_since)
 {
+    auto const now = core::clock::now();
     auto const last = std::partition(idle_.begin(),
                                      idle_.end(),
                                      [&](idle_connection& item)
                                      {
                                          return item.since >= unused_since &&
+                                                now < item.until &&
                                                 item.connection->quiet();
                                      });
     auto const closed = static_cast<std::size_t>(idle_.end() - last);
@@ -132,10 +141,14 @@
         release_place();
 }
 
-void upstream_pool::give_back(std::unique_ptr<upstream_connection> connection)
+void upstream_pool::give_back(std::unique_ptr<upstream_connection> connection,
+                              std::optional<core::duration> keep_for)
 {
+    auto const now = core::clock::now();
     if (waiters_.empty())
-        idle_.push_back({std::move(connection), core::clock::now()});
+        idle_.push_back({std::move(connection),
+                         now,
+                         keep_for ? now + *keep_for : core::time_point::max()});
     else
         hand_over(std::move(connection));
 }
--- a/kumquatloom/entry/upstream_pool.hpp
+++ b/kumquatloom/entry/upstream_pool.hpp
@@ -15,6 +15,7 @@
 
 #include <cstddef>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace kumquatloom::entry
@@ -40,8 +41,9 @@
         lease& operator=(lease&&) = delete;
         ~lease();
 
-        /// Keeps the connection for later exchanges.
-        void give_back();
+        /// Keeps the connection for later exchanges, at most for the time that
+        /// the upstream states.
+        void give_back(std::optional<core::duration> keep_for = {});
 
         /// The leased connection.
         upstream_connection& connection()
@@ -62,10 +64,13 @@
                   tcp::endpoint peer,
                   std::size_t limit);
 
-    /// A quiet pooled connection or a new one; waits for one while all are in
-    /// use, until the deadline or the end of the attempt.
+    /// A quiet pooled connection that was idle for at most `max_idle`, or a
+    /// new one; waits for one while all are in use, until the deadline or the
+    /// end of the attempt.
     asio::awaitable<core::result<lease, exchange_end>>
-    acquire(cancellation& ended, core::time_point deadline);
+    acquire(cancellation& ended,
+            core::time_point deadline,
+            core::duration max_idle = core::duration::max());
 
     /// Closes idle connections that were not used since the given time, or
     /// that the upstream closed.
@@ -114,16 +119,19 @@
         std::unique_ptr<upstream_connection> connection;
         /// When its last exchange ended.
         core::time_point since;
+        /// When the upstream may close it.
+        core::time_point until = core::time_point::max();
     };
 
-    std::unique_ptr<upstream_connection> take_idle();
+    std::unique_ptr<upstream_connection> take_idle(core::duration max_idle);
     asio::awaitable<bool>
     wait_for_place(cancellation& ended,
                    core::time_point deadline,
                    std::unique_ptr<upstream_connection>& connection);
     asio::awaitable<core::result<lease, exchange_end>>
     connect(cancellation& ended, core::time_point deadline);
-    void give_back(std::unique_ptr<upstream_connection> connection);
+    void give_back(std::unique_ptr<upstream_connection> connection,
+                   std::optional<core::duration> keep_for);
     void release_place();
     void hand_over(std::unique_ptr<upstream_connection> connection);
 
--- a/kumquatloom/entry/upstream_prober.cpp
+++ b/kumquatloom/entry/upstream_prober.cpp
@@ -1,7 +1,7 @@
 #include <kumquatloom/entry/instance_state.hpp>
 #include <kumquatloom/entry/service_control.hpp>
 #include <kumquatloom/entry/upstream_prober.hpp>
-#include <kumquatloom/platform/http_client.hpp>
+#include <kumquatloom/log_service/http_client.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -75,9 +75,9 @@
 asio::awaitable<void> upstream_prober::probe(core::service_name service,
                                              routing::upstream_endpoint target)
 {
-    platform::http_client_settings bounds;
+    log_service::http_client_settings bounds;
     bounds.timeout = probe_timeout;
-    platform::http_client const client({target.host, target.port}, bounds);
+    log_service::http_client const client({target.host, target.port}, bounds);
     auto const response = co_await client.fetch("/healthz");
     bool const ok = response && response.value().status == status_ok;
     state_.events.increment(ok ? entry_event::probe_succeeded
--- /dev/null
+++ b/kumquatloom/health/sickness_settings.hpp
@@ -0,0 +1,59 @@
+#ifndef KUMQUATLOOM_HEALTH_SICKNESS_SETTINGS_HPP
+#define KUMQUATLOOM_HEALTH_SICKNESS_SETTINGS_HPP
+
+#include <kumquatloom/health/attempt_report.hpp>
+
+#include <chrono>
+
+namespace kumquatloom::health
+{
+
+/// How results of attempts change the belief that an upstream is sick. All
+/// weights are natural logarithms of how much likelier a result is at a sick
+/// upstream than at a healthy one.
+struct sickness_settings
+{
+    /// Log-odds without evidence: two upstreams in ten are sick at any time.
+    double prior = -1.5;
+    /// Bound of the log-odds; keeps a long sickness from being remembered
+    /// longer than a short one.
+    double ceiling = 5;
+    /// Lower bound of the log-odds: with a long good record a reset must still
+    /// outweigh it.
+    double floor = -4;
+    /// Time in which evidence fades to 1/e of its weight. Gray spells last
+    /// five to ten seconds, so that a certain one is remembered that long.
+    std::chrono::milliseconds fade{5000};
+    /// Log-odds above which an upstream is avoided: as likely sick as not.
+    double avoid_above = 0;
+    /// Log-odds above which it gets nothing but trials as long as others are
+    /// there, even if these are full: nine in ten such upstreams are sick, and
+    /// a sick one fails most requests. To wait or to refuse is better.
+    double hopeless_above = 2.2;
+    /// Success: a gray upstream still answers a part of its requests.
+    double success = -1.2;
+    /// A success that took several times the usual time of the service.
+    double late = 0.6;
+    /// An error of the upstream. Healthy ones have one in a hundred, so that
+    /// only two in short order are evidence enough.
+    double error = 1.4;
+    /// The connection ended or the answer was wrong: one in a thousand at
+    /// healthy ones, most at gray ones. It outweighs the best record.
+    double broken = 8;
+    /// No answer at all.
+    double silent = 4;
+    /// No connection.
+    double unreachable = 8;
+    /// Multiple of the usual latency above which a success is late.
+    double late_factor = 4;
+    /// Time between two trial requests to an avoided upstream, from all
+    /// observers together.
+    std::chrono::milliseconds trial_interval{1000};
+
+    /// The weight of a result; `is_late` only matters for a success.
+    double weight(attempt_result result, bool is_late) const;
+};
+
+} // namespace kumquatloom::health
+
+#endif
--- /dev/null
+++ b/kumquatloom/health/sickness_table.cpp
@@ -0,0 +1,119 @@
+#include <kumquatloom/health/sickness_table.hpp>
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace kumquatloom::health
+{
+
+namespace
+{
+
+/// Weight of one sample of the usual latency.
+constexpr double latency_sample_weight = 0.05;
+
+} // namespace
+
+sickness_table::sickness_table(sickness_settings const& settings, double floor)
+    : settings_(settings)
+    , floor_(floor)
+{
+}
+
+void sickness_table::track(std::vector<core::upstream_id> const& upstreams,
+                           core::time_point now)
+{
+    std::unordered_map<core::upstream_id, watched> next;
+    for (auto const& id : upstreams)
+    {
+        auto const known = upstreams_.find(id);
+        next.emplace(id,
+                     known != upstreams_.end()
+                         ? known->second
+                         : watched{sickness_estimate(settings_, now), now});
+    }
+    upstreams_ = std::move(next);
+}
+
+double sickness_table::record(attempt_report const& report,
+                              core::time_point now)
+{
+    std::chrono::duration<double> const latency = report.latency;
+    bool const success = report.result == attempt_result::success;
+    bool const is_late =
+        success && usual_latency_ > 0 &&
+        latency.count() > settings_.late_factor * usual_latency_;
+    if (success)
+        usual_latency_ =
+            usual_latency_ == 0
+                ? latency.count()
+                : usual_latency_ + latency_sample_weight *
+                                       (latency.count() - usual_latency_);
+    auto const weight = settings_.weight(report.result, is_late);
+    merge(report.upstream, weight, now);
+    return weight;
+}
+
+void sickness_table::merge(core::upstream_id const& upstream,
+                           double weight,
+                           core::time_point now)
+{
+    auto const found = upstreams_.find(upstream);
+    if (found != upstreams_.end() && weight != 0)
+        add(found->second, weight, now);
+}
+
+std::vector<standing_decision> sickness_table::decide(core::time_point now)
+{
+    // The likeliest sick ones come first and use up the budget.
+    std::vector<std::pair<double, core::upstream_id const*>> ranked;
+    ranked.reserve(upstreams_.size());
+    for (auto& [id, item] : upstreams_)
+        ranked.emplace_back(item.estimate.log_odds(now), &id);
+    std::sort(ranked.begin(),
+              ranked.end(),
+              [](auto const& left, auto const& right)
+              {
+                  return left.first > right.first;
+              });
+    std::vector<standing_decision> decisions;
+    decisions.reserve(ranked.size());
+    avoided_ = 0;
+    for (auto const& [log_odds, id] : ranked)
+    {
+        auto& item = upstreams_.at(*id);
+        bool const avoid =
+            log_odds > settings_.avoid_above && avoided_ < budget();
+        avoided_ += avoid ? 1 : 0;
+        bool const trial = avoid && now >= item.next_trial;
+        if (trial)
+            item.next_trial = now + settings_.trial_interval * observers_;
+        decisions.push_back(
+            {*id,
+             avoid ? upstream_standing::avoided : upstream_standing::normal,
+             log_odds,
+             1,
+             trial,
+             avoid && log_odds > settings_.hopeless_above});
+    }
+    return decisions;
+}
+
+void sickness_table::add(watched& item, double weight, core::time_point now)
+{
+    bool const was_well = item.estimate.log_odds(now) <= settings_.avoid_above;
+    item.estimate.add(weight, now);
+    // The observers take turns from the beginning of the spell on.
+    if (weight > 0 && was_well)
+        item.next_trial = now + settings_.trial_interval * (place_ + 1);
+}
+
+std::size_t sickness_table::budget() const
+{
+    auto const kept = static_cast<std::size_t>(
+        std::ceil(floor_ * static_cast<double>(upstreams_.size())));
+    return upstreams_.size() - std::min(kept, upstreams_.size());
+}
+
+} // namespace kumquatloom::health
--- a/kumquatloom/health/standing_decision.hpp
+++ b/kumquatloom/health/standing_decision.hpp
@@ -20,6 +20,8 @@
     double weight = 1;
     /// Whether it should get one trial request although it is avoided.
     bool trial = false;
+    /// Whether it is so surely sick that it is no reserve of capacity.
+    bool hopeless = false;
 };
 
 } // namespace kumquatloom::health
--- /dev/null
+++ b/kumquatloom/hosting/environment_store.hpp
@@ -0,0 +1,67 @@
+#ifndef KUMQUATLOOM_HOSTING_ENVIRONMENT_STORE_HPP
+#define KUMQUATLOOM_HOSTING_ENVIRONMENT_STORE_HPP
+
+#include <kumquatloom/core/fault.hpp>
+#include <kumquatloom/core/result.hpp>
+#include <kumquatloom/document/document.hpp>
+#include <kumquatloom/hosting/environment_page.hpp>
+#include <kumquatloom/hosting/environment_position.hpp>
+#include <kumquatloom/log_service/error.hpp>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/smart_ptr/intrusive_ptr.hpp>
+
+#include <concepts>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace kumquatloom::hosting
+{
+
+/// Result of a read of the store.
+using page_result = core::result<environment_page, log_service::read_error>;
+/// IP numbers of the instances that have announced themselves.
+using hosts_result =
+    core::result<std::vector<std::string>, log_service::read_error>;
+/// Result of an announcement.
+using announce_result =
+    core::result<core::log_offset, log_service::append_error>;
+
+/// The store of an environment that runs instances for its users: it holds the
+/// configuration, the list of upstreams and what instances announce. An
+/// adapter translates names and formats, and decides nothing.
+template <typename Store>
+concept environment_store = requires(Store const& store,
+                                     environment_position const& position,
+                                     std::string const& host,
+                                     core::failure_domain const& domain,
+                                     std::string_view text,
+                                     core::fault_list& faults)
+{
+    // What has changed since a position. Fails with retention_cut if the
+    // records between are gone; then only read_all() helps.
+    {
+        store.read_changes(position)
+        } -> std::same_as<boost::asio::awaitable<page_result>>;
+    // Everything that holds now.
+    {
+        store.read_all()
+        } -> std::same_as<boost::asio::awaitable<page_result>>;
+    // Makes the address of an instance known to the others of its domain.
+    {
+        store.announce(host, domain)
+        } -> std::same_as<boost::asio::awaitable<announce_result>>;
+    // The addresses of the instances of a domain.
+    {
+        store.announced(domain)
+        } -> std::same_as<boost::asio::awaitable<hosts_result>>;
+    // Translates a configuration; null after a fault.
+    {
+        Store::parse(text, faults)
+        } -> std::same_as<boost::intrusive_ptr<document::document>>;
+};
+
+} // namespace kumquatloom::hosting
+
+#endif
--- /dev/null
+++ b/kumquatloom/hosting/neighbour_socket.cpp
@@ -0,0 +1,83 @@
+#include <kumquatloom/hosting/neighbour_socket.hpp>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/ip/address.hpp>
+
+#include <utility>
+
+namespace kumquatloom::hosting
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+using udp = asio::ip::udp;
+
+} // namespace
+
+neighbour_socket::neighbour_socket(asio::io_context& context,
+                                   settings::endpoint const& address,
+                                   handler received)
+    : socket_(context,
+              udp::endpoint(asio::ip::make_address(address.host), address.port))
+    , received_(std::move(received))
+{
+    socket_.non_blocking(true);
+}
+
+void neighbour_socket::start()
+{
+    receive();
+}
+
+void neighbour_socket::stop()
+{
+    error_code ignored;
+    socket_.close(ignored);
+}
+
+void neighbour_socket::send(settings::endpoint const& target,
+                            std::string_view bytes)
+{
+    error_code error;
+    auto const address = asio::ip::make_address(target.host, error);
+    if (!error)
+        socket_.send_to(asio::buffer(bytes.data(), bytes.size()),
+                        udp::endpoint(address, target.port),
+                        0,
+                        error);
+    if (error)
+        ++send_failures_;
+}
+
+std::uint16_t neighbour_socket::port() const
+{
+    return socket_.local_endpoint().port();
+}
+
+void neighbour_socket::receive()
+{
+    socket_.async_receive_from(
+        asio::buffer(buffer_),
+        source_,
+        [this](error_code error, std::size_t size)
+        {
+            if (error == asio::error::operation_aborted || !socket_.is_open())
+                return;
+            // Other errors are late ICMP messages about some send.
+            if (!error)
+            {
+                auto const message = decode<neighbour_message>(
+                    std::string_view(buffer_.data(), size));
+                if (message)
+                    received_(source_.address().to_string(), *message);
+                else
+                    ++malformed_;
+            }
+            receive();
+        });
+}
+
+} // namespace kumquatloom::hosting
--- /dev/null
+++ b/kumquatloom/hosting/neighbourhood.cpp
@@ -0,0 +1,132 @@
+#include <kumquatloom/core/logging.hpp>
+#include <kumquatloom/hosting/neighbourhood.hpp>
+
+#include <utility>
+
+namespace kumquatloom::hosting
+{
+
+namespace
+{
+
+/// Least time between two messages about load, which is a small part of the
+/// time that a request takes.
+constexpr std::chrono::milliseconds load_interval{50};
+
+} // namespace
+
+neighbourhood::neighbourhood(boost::asio::io_context& context,
+                             identity self,
+                             upstream_board& board,
+                             hooks given)
+    : self_(std::move(self))
+    , board_(board)
+    , hooks_(std::move(given))
+    , table_({}, self_.address.host, self_.incarnation)
+    , socket_(context,
+              self_.address,
+              [this](std::string const& host, neighbour_message const& message)
+              {
+                  received(host, message);
+              })
+{
+}
+
+void neighbourhood::start()
+{
+    socket_.start();
+}
+
+void neighbourhood::stop()
+{
+    socket_.stop();
+}
+
+void neighbourhood::learn(std::string const& host)
+{
+    if (table_.learn(host, core::clock::now()))
+        greet({host, self_.address.port});
+}
+
+void neighbourhood::greet(settings::endpoint const& seed)
+{
+    if (seed.host != self_.address.host)
+        send_to(seed, true);
+}
+
+void neighbourhood::tick(core::time_point now)
+{
+    table_.expire(now);
+    std::vector<std::string> live;
+    for (auto const& item : table_.live(now))
+        live.push_back(item.host);
+    loads_.keep(live);
+    board_.observe_as(table_.rank(now), live.size() + 1);
+    board_.report_neighbours(loads_.totals());
+    if (is_due(now))
+        send_now();
+}
+
+void neighbourhood::send_now()
+{
+    sent_ = core::clock::now();
+    auto const bytes = encode_message(false, board_.take_reports());
+    for (auto const& host : table_.addresses())
+        socket_.send({host, self_.address.port}, bytes);
+}
+
+void neighbourhood::received(std::string const& host,
+                             neighbour_message const& message)
+{
+    auto const now = core::clock::now();
+    if (message.domain != self_.domain)
+    {
+        // A new instance of another domain asks whoever it knows.
+        if (message.asks)
+            send_to({host, self_.address.port}, false);
+        hooks_.learned(host, message);
+        return;
+    }
+    bool const heard = table_.hear({host,
+                                    message.incarnation,
+                                    message.sequence,
+                                    message.ready,
+                                    message.leaving},
+                                   now);
+    if (!heard)
+        return;
+    if (message.asks)
+        send_to({host, self_.address.port}, false);
+    loads_.tell(host, message.reports);
+    board_.merge(message.reports, now);
+    board_.report_neighbours(loads_.totals());
+    hooks_.learned(host, message);
+}
+
+void neighbourhood::send_to(settings::endpoint const& target, bool asks)
+{
+    socket_.send(target, encode_message(asks, board_.load_reports()));
+}
+
+std::string neighbourhood::encode_message(bool asks,
+                                          std::vector<upstream_report> reports)
+{
+    neighbour_message message;
+    message.domain = self_.domain;
+    message.incarnation = self_.incarnation;
+    message.sequence = ++sequence_;
+    message.asks = asks;
+    message.reports = std::move(reports);
+    hooks_.describe(message);
+    return encode(message);
+}
+
+bool neighbourhood::is_due(core::time_point now) const
+{
+    auto const since = now - sent_;
+    return board_.has_bad_news() ||
+           (board_.has_news() && since >= load_interval) ||
+           since >= membership::neighbour_settings{}.heartbeat;
+}
+
+} // namespace kumquatloom::hosting
--- /dev/null
+++ b/kumquatloom/hosting/store_calls.hpp
@@ -0,0 +1,56 @@
+#ifndef KUMQUATLOOM_HOSTING_STORE_CALLS_HPP
+#define KUMQUATLOOM_HOSTING_STORE_CALLS_HPP
+
+#include <kumquatloom/hosting/environment.hpp>
+#include <kumquatloom/hosting/environment_store.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+
+namespace kumquatloom::hosting
+{
+
+/// The calls of a store, without its type.
+struct store_calls
+{
+    /// See environment_store.
+    std::function<boost::asio::awaitable<page_result>(environment_position)>
+        read_changes;
+    std::function<boost::asio::awaitable<page_result>()> read_all;
+    std::function<boost::asio::awaitable<announce_result>(
+        std::string host, core::failure_domain domain)>
+        announce;
+    std::function<boost::asio::awaitable<hosts_result>(
+        core::failure_domain domain)>
+        announced;
+    environment::parser parse = nullptr;
+};
+
+/// The calls of one store, which they share.
+template <environment_store Store>
+store_calls calls_of(std::shared_ptr<Store const> store)
+{
+    return {[store](environment_position position)
+            {
+                return store->read_changes(position);
+            },
+            [store]
+            {
+                return store->read_all();
+            },
+            [store](std::string host, core::failure_domain domain)
+            {
+                return store->announce(std::move(host), std::move(domain));
+            },
+            [store](core::failure_domain domain)
+            {
+                return store->announced(std::move(domain));
+            },
+            &Store::parse};
+}
+
+} // namespace kumquatloom::hosting
+
+#endif
--- /dev/null
+++ b/kumquatloom/hosting/upstream_board.cpp
@@ -0,0 +1,219 @@
+#include <kumquatloom/core/hashing.hpp>
+#include <kumquatloom/core/logging.hpp>
+#include <kumquatloom/hosting/neighbour_message.hpp>
+#include <kumquatloom/hosting/upstream_board.hpp>
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace kumquatloom::hosting
+{
+
+namespace
+{
+
+/// Unit of evidence in messages.
+constexpr double tenths = 10;
+/// Evidence that would be rounded to nothing is kept for later.
+constexpr double least_evidence = 0.05;
+/// Most that a report states.
+constexpr unsigned max_in_flight = 255;
+constexpr double max_evidence = 100;
+
+} // namespace
+
+std::uint32_t short_hash(core::upstream_id const& id)
+{
+    return static_cast<std::uint32_t>(core::stable_hash(id.value()));
+}
+
+upstream_board::upstream_board(double floor)
+    : floor_(floor)
+{
+}
+
+void upstream_board::track(core::service_name const& service,
+                           routing::upstream_table::pointer table,
+                           core::time_point now)
+{
+    auto const [place, added] = services_.try_emplace(
+        service,
+        known_service{
+            nullptr,
+            health::sickness_table(health::sickness_settings{}, floor_)});
+    auto& known = place->second;
+    if (known.table == table)
+        return;
+    if (known.table)
+        for (auto const& entry : known.table->entries())
+        {
+            auto const& id = entry.object->endpoint().id;
+            auto const stays = table->find(id);
+            // A new process with an old name starts without a record.
+            if (!stays || stays != entry.object)
+                upstreams_.erase(short_hash(id));
+        }
+    std::vector<core::upstream_id> ids;
+    for (auto const& entry : table->entries())
+    {
+        auto const& id = entry.object->endpoint().id;
+        ids.push_back(id);
+        auto& item = upstreams_[short_hash(id)];
+        item.object = entry.object;
+        item.sickness = &known.sickness;
+    }
+    known.sickness.track(ids, now);
+    known.sickness.observe_as(place_, observers_);
+    known.table = std::move(table);
+}
+
+void upstream_board::keep(std::vector<core::service_name> const& services)
+{
+    std::erase_if(
+        services_,
+        [&](auto const& item)
+        {
+            bool const gone =
+                std::find(services.begin(), services.end(), item.first) ==
+                services.end();
+            if (gone && item.second.table)
+                for (auto const& entry : item.second.table->entries())
+                    upstreams_.erase(short_hash(entry.object->endpoint().id));
+            return gone;
+        });
+}
+
+void upstream_board::record(routing::upstream const& target,
+                            health::attempt_report const& report,
+                            core::time_point now)
+{
+    auto const found = upstreams_.find(short_hash(report.upstream));
+    // The upstream may have left the list since the attempt began.
+    if (found == upstreams_.end() || found->second.object.get() != &target)
+        return;
+    auto& item = found->second;
+    auto const weight = item.sickness->record(report, now);
+    item.evidence += weight;
+    if (report.result == health::attempt_result::refused)
+        item.object->report_load(item.object->endpoint().slots, now);
+    if (weight > 0)
+    {
+        bad_news_ = true;
+        decide(now);
+    }
+}
+
+void upstream_board::merge(std::vector<upstream_report> const& reports,
+                           core::time_point now)
+{
+    bool bad = false;
+    for (auto const& told : reports)
+    {
+        auto const found = upstreams_.find(told.upstream);
+        if (found == upstreams_.end() || told.evidence == 0)
+            continue;
+        found->second.sickness->merge(
+            found->second.object->endpoint().id, told.evidence / tenths, now);
+        bad = bad || told.evidence > 0;
+    }
+    if (bad)
+        decide(now);
+}
+
+void upstream_board::report_neighbours(
+    std::unordered_map<std::uint32_t, unsigned> const& totals)
+{
+    for (auto& [hash, item] : upstreams_)
+    {
+        auto const found = totals.find(hash);
+        item.object->report_neighbours(found == totals.end() ? 0
+                                                             : found->second);
+    }
+}
+
+void upstream_board::observe_as(std::size_t place, std::size_t observers)
+{
+    place_ = place;
+    observers_ = observers;
+    for (auto& [name, service] : services_)
+        service.sickness.observe_as(place, observers);
+}
+
+void upstream_board::decide(core::time_point now)
+{
+    for (auto& [name, service] : services_)
+    {
+        if (!service.table)
+            continue;
+        auto const decisions = service.sickness.decide(now);
+        // Nothing here is an ejection, so that none has to be honoured.
+        service.table->publish(decisions, now);
+        for (auto const& decision : decisions)
+            log_standing(decision, name);
+    }
+}
+
+std::vector<upstream_report> upstream_board::take_reports()
+{
+    std::vector<upstream_report> reports;
+    for (auto& [hash, item] : upstreams_)
+    {
+        auto const in_flight =
+            std::min(item.object->in_flight(), max_in_flight);
+        bool const has_evidence = std::abs(item.evidence) >= least_evidence;
+        item.told = in_flight;
+        if ((in_flight == 0 && !has_evidence) || reports.size() >= max_reports)
+            continue;
+        upstream_report told;
+        told.upstream = hash;
+        told.in_flight = static_cast<std::uint8_t>(in_flight);
+        told.evidence = static_cast<std::int16_t>(std::lround(
+            std::clamp(item.evidence, -max_evidence, max_evidence) * tenths));
+        item.evidence = 0;
+        reports.push_back(told);
+    }
+    bad_news_ = false;
+    return reports;
+}
+
+std::vector<upstream_report> upstream_board::load_reports() const
+{
+    std::vector<upstream_report> reports;
+    for (auto const& [hash, item] : upstreams_)
+    {
+        auto const in_flight =
+            std::min(item.object->in_flight(), max_in_flight);
+        if (in_flight != 0 && reports.size() < max_reports)
+            reports.push_back({hash, static_cast<std::uint8_t>(in_flight), 0});
+    }
+    return reports;
+}
+
+bool upstream_board::has_news() const
+{
+    return std::any_of(upstreams_.begin(),
+                       upstreams_.end(),
+                       [](auto const& item)
+                       {
+                           return item.second.told !=
+                                  item.second.object->in_flight();
+                       });
+}
+
+void upstream_board::log_standing(health::standing_decision const& decision,
+                                  core::service_name const& service)
+{
+    auto& last = logged_[decision.upstream];
+    if (last == decision.standing)
+        return;
+    core::log_info("upstream_standing",
+                   {{"upstream", decision.upstream.value()},
+                    {"service", service.value()},
+                    {"before", to_string(last)},
+                    {"standing", to_string(decision.standing)},
+                    {"log_odds", decision.severity}});
+    last = decision.standing;
+}
+
+} // namespace kumquatloom::hosting
--- a/kumquatloom/limits/deadline_admission.cpp
+++ b/kumquatloom/limits/deadline_admission.cpp
@@ -40,7 +40,13 @@
         core::duration(sampled_ns_.load(std::memory_order_relaxed)));
     if (now - sampled >= settings_.estimate_life)
         return true;
-    return estimate(queued, slots) <= left;
+    auto const wait = estimate(queued, slots) - estimate(0, slots);
+    return wait + needed_time() <= left;
+}
+
+core::duration deadline_admission::needed_time() const
+{
+    return estimate(0, 1) * settings_.needed_percent / 100;
 }
 
 core::duration deadline_admission::estimate(std::size_t queued,
--- a/kumquatloom/limits/deadline_admission.hpp
+++ b/kumquatloom/limits/deadline_admission.hpp
@@ -17,6 +17,10 @@
     /// Without a sample for this time the estimate is not believed, so that a
     /// service that was slow gets requests to show that it no longer is.
     std::chrono::milliseconds estimate_life{1000};
+    /// Part of the mean service time, in hundredths, that a request needs at
+    /// least. Where service times vary a lot, many requests take far less than
+    /// the mean.
+    unsigned needed_percent = 100;
 };
 
 /// Refuses requests of one service that would not be answered in time. Used by
@@ -37,6 +41,9 @@
                 std::size_t slots,
                 core::time_point now) const;
 
+    /// Time below which a request cannot be expected to be served.
+    core::duration needed_time() const;
+
     /// Estimated wait and service time.
     core::duration estimate(std::size_t queued, std::size_t slots) const;
 
--- a/kumquatloom/limits/priority.cpp
+++ b/kumquatloom/limits/priority.cpp
@@ -19,6 +19,12 @@
     return {};
 }
 
+priority priority_of_rank(unsigned rank)
+{
+    auto const last = static_cast<unsigned>(priority::count) - 1;
+    return static_cast<priority>(rank < last ? rank : last);
+}
+
 std::optional<priority> parse_priority(std::string_view text)
 {
     for (auto const value : {priority::high, priority::normal, priority::low})
--- a/kumquatloom/limits/priority.hpp
+++ b/kumquatloom/limits/priority.hpp
@@ -19,6 +19,9 @@
 /// Text of the header field and of the metric label.
 std::string_view to_string(priority value);
 
+/// The priority of a rank, of which 0 is the highest.
+priority priority_of_rank(unsigned rank);
+
 /// Reads the value of `Kumquatloom-Priority`.
 std::optional<priority> parse_priority(std::string_view text);
 
--- a/kumquatloom/platform/error.cpp
+++ b/kumquatloom/log_service/error.cpp
@@ -1,6 +1,6 @@
-#include <kumquatloom/platform/error.hpp>
+#include <kumquatloom/log_service/error.hpp>
 
-namespace kumquatloom::platform
+namespace kumquatloom::log_service
 {
 
 std::string_view to_string(http_error error)
@@ -72,4 +72,4 @@
     return read_error::unreachable;
 }
 
-} // namespace kumquatloom::platform
+} // namespace kumquatloom::log_service
--- a/kumquatloom/platform/error.hpp
+++ b/kumquatloom/log_service/error.hpp
@@ -1,10 +1,10 @@
-#ifndef KUMQUATLOOM_PLATFORM_ERROR_HPP
-#define KUMQUATLOOM_PLATFORM_ERROR_HPP
+#ifndef KUMQUATLOOM_LOG_SERVICE_ERROR_HPP
+#define KUMQUATLOOM_LOG_SERVICE_ERROR_HPP
 
 #include <cstdint>
 #include <string_view>
 
-namespace kumquatloom::platform
+namespace kumquatloom::log_service
 {
 
 /// Why an HTTP exchange with the platform has no response.
@@ -62,6 +62,6 @@
 /// The read error that a lost HTTP exchange amounts to.
 read_error to_read_error(http_error error);
 
-} // namespace kumquatloom::platform
+} // namespace kumquatloom::log_service
 
 #endif
--- a/kumquatloom/platform/http_client.cpp
+++ b/kumquatloom/log_service/http_client.cpp
@@ -1,4 +1,4 @@
-#include <kumquatloom/platform/http_client.hpp>
+#include <kumquatloom/log_service/http_client.hpp>
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/ip/address.hpp>
@@ -15,7 +15,7 @@
 
 #include <utility>
 
-namespace kumquatloom::platform
+namespace kumquatloom::log_service
 {
 
 namespace
@@ -56,15 +56,17 @@
     return run(request_method::fetch,
                std::move(target),
                std::string(),
+               std::string(),
                settings_.timeout + extra);
 }
 
-asio::awaitable<http_client::exchange> http_client::post(std::string target,
-                                                         std::string body) const
+asio::awaitable<http_client::exchange> http_client::post(
+    std::string target, std::string body, std::string content_type) const
 {
     return run(request_method::post,
                std::move(target),
                std::move(body),
+               std::move(content_type),
                settings_.timeout);
 }
 
@@ -72,6 +74,7 @@
 http_client::run(request_method method,
                  std::string target,
                  std::string body,
+                 std::string content_type,
                  std::chrono::milliseconds timeout) const
 {
     // The coroutine keeps its own copy of what it needs after a suspension.
@@ -97,7 +100,7 @@
     request.keep_alive(false);
     if (method == request_method::post)
     {
-        request.set(http::field::content_type, "application/json");
+        request.set(http::field::content_type, content_type);
         request.body() = std::move(body);
     }
     request.prepare_payload();
@@ -120,4 +123,4 @@
     co_return response;
 }
 
-} // namespace kumquatloom::platform
+} // namespace kumquatloom::log_service
--- a/kumquatloom/platform/http_client.hpp
+++ b/kumquatloom/log_service/http_client.hpp
@@ -1,8 +1,8 @@
-#ifndef KUMQUATLOOM_PLATFORM_HTTP_CLIENT_HPP
-#define KUMQUATLOOM_PLATFORM_HTTP_CLIENT_HPP
+#ifndef KUMQUATLOOM_LOG_SERVICE_HTTP_CLIENT_HPP
+#define KUMQUATLOOM_LOG_SERVICE_HTTP_CLIENT_HPP
 
 #include <kumquatloom/core/result.hpp>
-#include <kumquatloom/platform/error.hpp>
+#include <kumquatloom/log_service/error.hpp>
 #include <kumquatloom/settings/endpoint.hpp>
 
 #include <boost/asio/awaitable.hpp>
@@ -12,7 +12,7 @@
 #include <cstdint>
 #include <string>
 
-namespace kumquatloom::platform
+namespace kumquatloom::log_service
 {
 
 /// Bounds of an HTTP client.
@@ -49,9 +49,11 @@
     boost::asio::awaitable<exchange>
     fetch(std::string target, std::chrono::milliseconds extra = {}) const;
 
-    /// Sends a POST request with a JSON body.
-    boost::asio::awaitable<exchange> post(std::string target,
-                                          std::string body) const;
+    /// Sends a POST request.
+    boost::asio::awaitable<exchange>
+    post(std::string target,
+         std::string body,
+         std::string content_type = "application/json") const;
 
     /// The server.
     settings::endpoint const& server() const
@@ -70,6 +72,7 @@
     run(request_method method,
         std::string target,
         std::string body,
+        std::string content_type,
         std::chrono::milliseconds timeout) const;
 
     /// The server.
@@ -78,6 +81,6 @@
     http_client_settings settings_;
 };
 
-} // namespace kumquatloom::platform
+} // namespace kumquatloom::log_service
 
 #endif
--- a/kumquatloom/platform/instance_list.cpp
+++ b/kumquatloom/log_service/instance_list.cpp
@@ -1,5 +1,5 @@
 #include <kumquatloom/core/json_reader.hpp>
-#include <kumquatloom/platform/instance_list.hpp>
+#include <kumquatloom/log_service/instance_list.hpp>
 
 #include <boost/json/value.hpp>
 
@@ -7,7 +7,7 @@
 #include <set>
 #include <utility>
 
-namespace kumquatloom::platform
+namespace kumquatloom::log_service
 {
 
 namespace
@@ -91,4 +91,4 @@
     return list;
 }
 
-} // namespace kumquatloom::platform
+} // namespace kumquatloom::log_service
--- a/kumquatloom/platform/instance_list.hpp
+++ b/kumquatloom/log_service/instance_list.hpp
@@ -1,5 +1,5 @@
-#ifndef KUMQUATLOOM_PLATFORM_INSTANCE_LIST_HPP
-#define KUMQUATLOOM_PLATFORM_INSTANCE_LIST_HPP
+#ifndef KUMQUATLOOM_LOG_SERVICE_INSTANCE_LIST_HPP
+#define KUMQUATLOOM_LOG_SERVICE_INSTANCE_LIST_HPP
 
 #include <kumquatloom/core/ids.hpp>
 
@@ -9,7 +9,7 @@
 #include <string_view>
 #include <vector>
 
-namespace kumquatloom::platform
+namespace kumquatloom::log_service
 {
 
 /// An entry instance of the platform's list.
@@ -71,6 +71,6 @@
 /// list does not look like one from which instances have gone.
 std::optional<instance_list> parse_instance_list(std::string_view text);
 
-} // namespace kumquatloom::platform
+} // namespace kumquatloom::log_service
 
 #endif
--- a/kumquatloom/platform/instance_list_client.cpp
+++ b/kumquatloom/log_service/instance_list_client.cpp
@@ -1,9 +1,9 @@
-#include <kumquatloom/platform/instance_list_client.hpp>
+#include <kumquatloom/log_service/instance_list_client.hpp>
 
 #include <algorithm>
 #include <utility>
 
-namespace kumquatloom::platform
+namespace kumquatloom::log_service
 {
 
 namespace
@@ -55,4 +55,4 @@
     co_return std::move(*list);
 }
 
-} // namespace kumquatloom::platform
+} // namespace kumquatloom::log_service
--- a/kumquatloom/platform/instance_list_client.hpp
+++ b/kumquatloom/log_service/instance_list_client.hpp
@@ -1,14 +1,14 @@
-#ifndef KUMQUATLOOM_PLATFORM_INSTANCE_LIST_CLIENT_HPP
-#define KUMQUATLOOM_PLATFORM_INSTANCE_LIST_CLIENT_HPP
+#ifndef KUMQUATLOOM_LOG_SERVICE_INSTANCE_LIST_CLIENT_HPP
+#define KUMQUATLOOM_LOG_SERVICE_INSTANCE_LIST_CLIENT_HPP
 
 #include <kumquatloom/core/result.hpp>
-#include <kumquatloom/platform/error.hpp>
-#include <kumquatloom/platform/http_client.hpp>
-#include <kumquatloom/platform/instance_list.hpp>
+#include <kumquatloom/log_service/error.hpp>
+#include <kumquatloom/log_service/http_client.hpp>
+#include <kumquatloom/log_service/instance_list.hpp>
 
 #include <boost/asio/awaitable.hpp>
 
-namespace kumquatloom::platform
+namespace kumquatloom::log_service
 {
 
 /// Client of the platform's instance list.
@@ -30,6 +30,6 @@
     http_client client_;
 };
 
-} // namespace kumquatloom::platform
+} // namespace kumquatloom::log_service
 
 #endif
--- a/kumquatloom/platform/log_client.cpp
+++ b/kumquatloom/log_service/log_client.cpp
@@ -1,6 +1,6 @@
 #include <kumquatloom/core/json_reader.hpp>
 #include <kumquatloom/document/log_record.hpp>
-#include <kumquatloom/platform/log_client.hpp>
+#include <kumquatloom/log_service/log_client.hpp>
 
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
@@ -11,7 +11,7 @@
 #include <utility>
 #include <variant>
 
-namespace kumquatloom::platform
+namespace kumquatloom::log_service
 {
 
 namespace
@@ -208,4 +208,4 @@
     }
 }
 
-} // namespace kumquatloom::platform
+} // namespace kumquatloom::log_service
--- a/kumquatloom/platform/log_client.hpp
+++ b/kumquatloom/log_service/log_client.hpp
@@ -1,11 +1,11 @@
-#ifndef KUMQUATLOOM_PLATFORM_LOG_CLIENT_HPP
-#define KUMQUATLOOM_PLATFORM_LOG_CLIENT_HPP
+#ifndef KUMQUATLOOM_LOG_SERVICE_LOG_CLIENT_HPP
+#define KUMQUATLOOM_LOG_SERVICE_LOG_CLIENT_HPP
 
 #include <kumquatloom/core/ids.hpp>
 #include <kumquatloom/core/result.hpp>
 #include <kumquatloom/document/log_page.hpp>
-#include <kumquatloom/platform/error.hpp>
-#include <kumquatloom/platform/http_client.hpp>
+#include <kumquatloom/log_service/error.hpp>
+#include <kumquatloom/log_service/http_client.hpp>
 
 #include <boost/asio/awaitable.hpp>
 
@@ -15,7 +15,7 @@
 #include <string>
 #include <string_view>
 
-namespace kumquatloom::platform
+namespace kumquatloom::log_service
 {
 
 /// Client of the platform's append-only log.
@@ -65,6 +65,6 @@
 std::optional<document::log_page>
 parse_log_page(std::string_view text, core::log_offset from, std::size_t max);
 
-} // namespace kumquatloom::platform
+} // namespace kumquatloom::log_service
 
 #endif
--- /dev/null
+++ b/kumquatloom/membership/neighbour_table.cpp
@@ -0,0 +1,99 @@
+#include <kumquatloom/membership/neighbour_table.hpp>
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace kumquatloom::membership
+{
+
+neighbour_table::neighbour_table(neighbour_settings const& settings,
+                                 std::string own_host,
+                                 core::incarnation own_incarnation)
+    : settings_(settings)
+    , own_host_(std::move(own_host))
+    , own_incarnation_(own_incarnation)
+{
+}
+
+bool neighbour_table::learn(std::string const& host, core::time_point now)
+{
+    if (host == own_host_)
+        return false;
+    auto const [place, added] = neighbours_.try_emplace(host);
+    if (added)
+    {
+        place->second.host = host;
+        // Not heard yet, so that it is suspect, but gets heartbeats.
+        place->second.heard = now - settings_.suspect_after;
+    }
+    return added;
+}
+
+bool neighbour_table::hear(heard_heartbeat const& message, core::time_point now)
+{
+    if (message.host == own_host_)
+        return false;
+    learn(message.host, now);
+    auto& known = neighbours_.at(message.host);
+    if (std::tie(message.incarnation, message.sequence) <=
+        std::tie(known.incarnation, known.sequence))
+        return false;
+    known.incarnation = message.incarnation;
+    known.sequence = message.sequence;
+    known.ready = message.ready;
+    known.leaving = message.leaving;
+    known.heard = now;
+    return true;
+}
+
+void neighbour_table::expire(core::time_point now)
+{
+    std::erase_if(neighbours_,
+                  [&](auto const& item)
+                  {
+                      return now - item.second.heard > settings_.forget_after;
+                  });
+}
+
+std::vector<std::string> neighbour_table::addresses() const
+{
+    std::vector<std::string> result;
+    result.reserve(neighbours_.size());
+    for (auto const& [host, item] : neighbours_)
+        result.push_back(host);
+    return result;
+}
+
+std::vector<neighbour> neighbour_table::live(core::time_point now) const
+{
+    std::vector<neighbour> result;
+    for (auto const& [host, item] : neighbours_)
+        if (now - item.heard < settings_.suspect_after)
+            result.push_back(item);
+    return result;
+}
+
+std::vector<std::string> neighbour_table::serving(core::time_point now) const
+{
+    std::vector<std::string> result;
+    for (auto const& item : live(now))
+        if (item.ready && !item.leaving)
+            result.push_back(item.host);
+    return result;
+}
+
+std::size_t neighbour_table::rank(core::time_point now) const
+{
+    auto const others = live(now);
+    return static_cast<std::size_t>(std::count_if(
+        others.begin(),
+        others.end(),
+        [&](neighbour const& item)
+        {
+            return !item.leaving && std::tie(item.incarnation, item.host) <
+                                        std::tie(own_incarnation_, own_host_);
+        }));
+}
+
+} // namespace kumquatloom::membership
--- a/kumquatloom/request/answer_check.cpp
+++ b/kumquatloom/request/answer_check.cpp
@@ -2,7 +2,7 @@
 #include <kumquatloom/core/mutation.hpp>
 #include <kumquatloom/request/answer_check.hpp>
 #include <kumquatloom/request/content_digest.hpp>
-#include <kumquatloom/request/header_names.hpp>
+#include <kumquatloom/request/wire_dialect.hpp>
 
 #include <charconv>
 #include <cstdint>
@@ -16,7 +16,7 @@
 
 constexpr unsigned status_no_content = 204;
 constexpr unsigned status_not_modified = 304;
-constexpr unsigned status_unavailable = 503;
+constexpr unsigned status_misdirected = 421;
 
 /// The number in a Content-Length field; digits only.
 std::optional<std::uint64_t> parse_length(std::string_view text)
@@ -30,12 +30,13 @@
 }
 
 answer_verdict check_id(answer_facts const& answer,
-                        core::request_id const& expected)
+                        core::request_id const& expected,
+                        wire_dialect const& dialect)
 {
-    auto const count = count_fields(answer.fields, header_names::request_id);
+    auto const count = count_fields(answer.fields, dialect.request_id);
     if (count == 0)
         return answer_verdict::missing_request_id;
-    auto const echoed = find_field(answer.fields, header_names::request_id);
+    auto const echoed = find_field(answer.fields, dialect.request_id);
     if (core::is_mutated(core::mutation::skip_request_id_check))
         return answer_verdict::verified;
     if (count > 1 || expected.empty() || *echoed != expected.value())
@@ -85,22 +86,49 @@
                : answer_verdict::wrong_digest;
 }
 
+/// Whether a success is the upstream's own body, as far as the dialect tells.
+answer_verdict check_signature(answer_facts const& answer,
+                               wire_dialect const& dialect)
+{
+    bool const success = answer.status >= 200 && answer.status < 300;
+    if (dialect.signature.empty() || !success)
+        return answer_verdict::verified;
+    if (count_fields(answer.fields, dialect.signature) != 1)
+        return answer_verdict::missing_signature;
+    // Callers ask for no encoding, so that an encoded body was altered.
+    return count_fields(answer.fields, "Content-Encoding") == 0
+               ? answer_verdict::verified
+               : answer_verdict::encoded_body;
+}
+
+/// Whether the answer states that the request was not run.
+bool states_refusal(answer_facts const& answer, wire_dialect const& dialect)
+{
+    if (!dialect.expected_upstream.empty() &&
+        answer.status == status_misdirected)
+        return true;
+    if (dialect.refusal_status != 0 && answer.status != dialect.refusal_status)
+        return false;
+    auto const stated = find_field(answer.fields, dialect.refusal);
+    return stated && count_fields(answer.fields, dialect.refusal) == 1 &&
+           (dialect.refusal_value.empty() || *stated == dialect.refusal_value);
+}
+
 } // namespace
 
 answer_verdict check_answer(answer_facts const& answer,
-                            core::request_id const& expected)
+                            core::request_id const& expected,
+                            wire_dialect const& dialect)
 {
-    for (auto const verdict : {check_id(answer, expected),
+    for (auto const verdict : {check_id(answer, expected, dialect),
                                check_length(answer),
-                               check_digest(answer)})
+                               check_digest(answer),
+                               check_signature(answer, dialect)})
         if (verdict != answer_verdict::verified)
             return verdict;
     // Only a verified answer may prove that the request was not run.
-    auto const stated = find_field(answer.fields, header_names::outcome);
-    bool const refused =
-        answer.status == status_unavailable && stated == "not-run" &&
-        count_fields(answer.fields, header_names::outcome) == 1;
-    return refused ? answer_verdict::refused : answer_verdict::verified;
+    return states_refusal(answer, dialect) ? answer_verdict::refused
+                                           : answer_verdict::verified;
 }
 
 } // namespace kumquatloom::request
--- a/kumquatloom/request/answer_check.hpp
+++ b/kumquatloom/request/answer_check.hpp
@@ -4,6 +4,7 @@
 #include <kumquatloom/core/ids.hpp>
 #include <kumquatloom/request/answer_verdict.hpp>
 #include <kumquatloom/request/header_field.hpp>
+#include <kumquatloom/request/wire_dialect.hpp>
 
 #include <span>
 #include <string_view>
@@ -26,9 +27,11 @@
 
 /// Verifies that an answer belongs to the request and is complete: the request
 /// id is echoed once, the length is stated and equals the body, and a SHA-256
-/// content digest (RFC 9530) matches when there is one.
+/// content digest (RFC 9530) matches when there is one. In a dialect with
+/// signatures a success must carry one, and its body must not be encoded.
 answer_verdict check_answer(answer_facts const& answer,
-                            core::request_id const& expected);
+                            core::request_id const& expected,
+                            wire_dialect const& dialect = own_dialect);
 
 } // namespace kumquatloom::request
 
--- a/kumquatloom/request/answer_verdict.cpp
+++ b/kumquatloom/request/answer_verdict.cpp
@@ -23,6 +23,10 @@
         return "malformed-digest";
     case answer_verdict::wrong_digest:
         return "wrong-digest";
+    case answer_verdict::missing_signature:
+        return "missing-signature";
+    case answer_verdict::encoded_body:
+        return "encoded-body";
     case answer_verdict::count:
         break;
     }
--- a/kumquatloom/request/answer_verdict.hpp
+++ b/kumquatloom/request/answer_verdict.hpp
@@ -19,6 +19,9 @@
     wrong_length,
     malformed_digest,
     wrong_digest,
+    missing_signature,
+    /// A body in an encoding that nobody asked for.
+    encoded_body,
     count
 };
 
--- a/kumquatloom/request/attempt_state.cpp
+++ b/kumquatloom/request/attempt_state.cpp
@@ -99,6 +99,16 @@
                        });
 }
 
+bool attempt_state::reached_upstream() const
+{
+    return std::any_of(attempts_.begin(),
+                       attempts_.end(),
+                       [](attempt_record const& record)
+                       {
+                           return record.sent != sent_state::nothing_written;
+                       });
+}
+
 outcome attempt_state::final_outcome() const
 {
     if (completed_)
--- a/kumquatloom/request/attempt_state.hpp
+++ b/kumquatloom/request/attempt_state.hpp
@@ -93,6 +93,9 @@
     /// Whether every attempt has ended and is proven not to have been run.
     bool proven_not_run() const;
 
+    /// Whether bytes of any attempt were handed to the network.
+    bool reached_upstream() const;
+
     /// Outcome of the request over all attempts.
     outcome final_outcome() const;
 
--- a/kumquatloom/request/hedge_decider.cpp
+++ b/kumquatloom/request/hedge_decider.cpp
@@ -27,9 +27,10 @@
 
 retry_decision hedge_decider::decide(attempt_state const& state,
                                      core::duration p95,
-                                     core::time_point now) const
+                                     core::time_point now,
+                                     std::size_t max_attempts) const
 {
-    auto denied = objection(state, p95, now);
+    auto denied = objection(state, p95, now, max_attempts);
     if (!denied && !budget_.try_take(now))
         denied = retry_denied_reason::budget_spent;
     if (denied)
@@ -41,8 +42,11 @@
     return core::success(retry_reason::hedge);
 }
 
-std::optional<retry_denied_reason> hedge_decider::objection(
-    attempt_state const& state, core::duration p95, core::time_point now) const
+std::optional<retry_denied_reason>
+hedge_decider::objection(attempt_state const& state,
+                         core::duration p95,
+                         core::time_point now,
+                         std::size_t max_attempts) const
 {
     if (state.final_outcome() == outcome::completed)
         return retry_denied_reason::completed;
@@ -50,7 +54,7 @@
         return retry_denied_reason::caller_gone;
     if (state.repeat() != idempotency::idempotent)
         return retry_denied_reason::may_have_run;
-    if (state.attempts() != 1 || state.running() != 1)
+    if (state.attempts() != 1 || state.running() != 1 || max_attempts < 2)
         return retry_denied_reason::too_many_attempts;
     if (now < due(state, p95))
         return retry_denied_reason::not_late;
--- a/kumquatloom/request/hedge_decider.hpp
+++ b/kumquatloom/request/hedge_decider.hpp
@@ -40,16 +40,21 @@
     /// When to ask, given the 95th percentile of the service's latency.
     core::time_point due(attempt_state const& state, core::duration p95) const;
 
-    /// Decides and, for a hedge, takes it from the budget.
-    retry_decision decide(attempt_state const& state,
-                          core::duration p95,
-                          core::time_point now) const;
+    /// Decides and, for a hedge, takes it from the budget. `max_attempts` is
+    /// the route's own bound.
+    retry_decision
+    decide(attempt_state const& state,
+           core::duration p95,
+           core::time_point now,
+           std::size_t max_attempts = retry_decider::no_bound) const;
 
 private:
     /// The reason against a hedge, apart from the budget.
-    std::optional<retry_denied_reason> objection(attempt_state const& state,
-                                                 core::duration p95,
-                                                 core::time_point now) const;
+    std::optional<retry_denied_reason>
+    objection(attempt_state const& state,
+              core::duration p95,
+              core::time_point now,
+              std::size_t max_attempts) const;
 
     /// Bounds on hedging.
     hedge_settings settings_;
--- a/kumquatloom/request/retry_decider.cpp
+++ b/kumquatloom/request/retry_decider.cpp
@@ -4,6 +4,8 @@
 
 #include <boost/assert.hpp>
 
+#include <algorithm>
+
 namespace kumquatloom::request
 {
 
@@ -17,11 +19,13 @@
 }
 
 retry_decision retry_decider::decide(attempt_state const& state,
-                                     core::time_point now) const
+                                     core::time_point now,
+                                     std::size_t max_attempts) const
 {
-    auto denied = objection(state, now);
-    // The budget is asked last, so that it only pays for attempts.
-    if (!denied && !budget_.try_take(now))
+    auto denied = objection(state, now, max_attempts);
+    // The budget is asked last, so that it only pays for attempts. An attempt
+    // after others that reached nobody adds no load.
+    if (!denied && state.reached_upstream() && !budget_.try_take(now))
         denied = retry_denied_reason::budget_spent;
     if (denied)
     {
@@ -34,7 +38,9 @@
 }
 
 std::optional<retry_denied_reason>
-retry_decider::objection(attempt_state const& state, core::time_point now) const
+retry_decider::objection(attempt_state const& state,
+                         core::time_point now,
+                         std::size_t max_attempts) const
 {
     if (state.final_outcome() == outcome::completed)
         return retry_denied_reason::completed;
@@ -45,7 +51,7 @@
     if (state.repeat() != idempotency::idempotent && !state.proven_not_run() &&
         !core::is_mutated(core::mutation::retry_unknown_outcome))
         return retry_denied_reason::may_have_run;
-    if (state.attempts() >= settings_.max_attempts)
+    if (state.attempts() >= std::min(settings_.max_attempts, max_attempts))
         return retry_denied_reason::too_many_attempts;
     if (state.until().left(now) < settings_.least_time)
         return retry_denied_reason::no_time_left;
--- a/kumquatloom/request/retry_decider.hpp
+++ b/kumquatloom/request/retry_decider.hpp
@@ -8,6 +8,8 @@
 
 #include <chrono>
 #include <cstddef>
+#include <limits>
+#include <optional>
 
 namespace kumquatloom::limits
 {
@@ -35,20 +37,28 @@
 class retry_decider
 {
 public:
+    /// Stands for no bound but that of the settings.
+    static constexpr std::size_t no_bound =
+        std::numeric_limits<std::size_t>::max();
+
     /// The budget and the counters must outlive the decider.
     retry_decider(retry_settings settings,
                   limits::retry_budget& budget,
                   retry_counters& counters);
 
-    /// Decides and, for another attempt, takes it from the budget. At least
-    /// one attempt must have failed.
+    /// Decides and, for another attempt, takes it from the budget, unless no
+    /// upstream has received anything yet. At least one attempt must have
+    /// failed. `max_attempts` is the route's own bound.
     retry_decision decide(attempt_state const& state,
-                          core::time_point now) const;
+                          core::time_point now,
+                          std::size_t max_attempts = no_bound) const;
 
 private:
     /// The reason against another attempt, apart from the budget.
-    std::optional<retry_denied_reason> objection(attempt_state const& state,
-                                                 core::time_point now) const;
+    std::optional<retry_denied_reason>
+    objection(attempt_state const& state,
+              core::time_point now,
+              std::size_t max_attempts) const;
 
     /// Bounds on further attempts.
     retry_settings settings_;
--- a/kumquatloom/routing/picker.cpp
+++ b/kumquatloom/routing/picker.cpp
@@ -82,6 +82,31 @@
                                      : candidate.cost(fallback);
 }
 
+/// The candidate with the smallest part of its slots in use, a random one
+/// among equals.
+boost::intrusive_ptr<upstream> const&
+least_used(candidate_list const& candidates,
+           random_sequence& random,
+           core::time_point now)
+{
+    std::size_t best = 0;
+    double best_use = 0;
+    std::size_t equals = 0;
+    for (std::size_t i = 0; i < candidates.size(); ++i)
+    {
+        double const use = (*candidates[i])->use(now);
+        if (i == 0 || use < best_use)
+        {
+            best = i;
+            best_use = use;
+            equals = 1;
+        }
+        else if (use == best_use && random.below(++equals) == 0)
+            best = i;
+    }
+    return *candidates[best];
+}
+
 /// The cheaper of two random candidates.
 boost::intrusive_ptr<upstream> const&
 cheaper_of_two(candidate_list const& candidates,
@@ -100,6 +125,18 @@
                : second;
 }
 
+/// The candidate that the rule prefers.
+boost::intrusive_ptr<upstream> const&
+preferred(candidate_list const& candidates,
+          random_sequence& random,
+          choice_rule rule,
+          core::time_point now)
+{
+    return rule == choice_rule::least_used
+               ? least_used(candidates, random, now)
+               : cheaper_of_two(candidates, random, rule, now);
+}
+
 bool was_tried(pick_request const& request, upstream const* object)
 {
     return std::any_of(request.tried.begin(),
@@ -115,8 +152,12 @@
 {
     /// Upstreams with a free slot at each distance.
     std::array<candidate_list, 3> near_to_far;
-    /// Avoided upstreams with a free slot.
+    /// Avoided upstreams with a free slot, and those of them that are surely
+    /// sick.
     candidate_list avoided;
+    candidate_list hopeless;
+    /// Whether any upstream is not avoided, with or without a free slot.
+    bool any_well = false;
     /// An avoided upstream that wants a trial request.
     boost::intrusive_ptr<upstream> const* trial = nullptr;
     /// Whether any upstream may receive work, and any that was not tried.
@@ -137,6 +178,8 @@
             standing == upstream_standing::ejected)
             continue;
         result.any_usable = true;
+        result.any_well =
+            result.any_well || standing != upstream_standing::avoided;
         if (was_tried(request, object.get()))
             continue;
         result.any_untried = true;
@@ -147,7 +190,8 @@
                 &object);
         else
         {
-            result.avoided.push_back(&object);
+            (object->is_hopeless() ? result.hopeless : result.avoided)
+                .push_back(&object);
             if (request.may_be_trial && object->wants_trial())
                 result.trial = &object;
         }
@@ -172,11 +216,14 @@
     for (std::size_t i = 0; i < candidates.near_to_far.size(); ++i)
         if (!candidates.near_to_far[i].empty())
             return take(
-                cheaper_of_two(candidates.near_to_far[i], random, rule_, now),
+                preferred(candidates.near_to_far[i], random, rule_, now),
                 static_cast<spill>(i));
     // Avoided upstreams are a reserve of capacity.
     if (!candidates.avoided.empty())
-        return take(cheaper_of_two(candidates.avoided, random, rule_, now),
+        return take(preferred(candidates.avoided, random, rule_, now),
+                    spill::avoided);
+    if (!candidates.any_well && !candidates.hopeless.empty())
+        return take(preferred(candidates.hopeless, random, rule_, now),
                     spill::avoided);
     if (!candidates.any_usable)
         return fail(pick_error::no_upstream);
--- a/kumquatloom/routing/picker.hpp
+++ b/kumquatloom/routing/picker.hpp
@@ -6,25 +6,15 @@
 #include <kumquatloom/core/rcu_cell.hpp>
 #include <kumquatloom/core/result.hpp>
 #include <kumquatloom/health/attempt_report.hpp>
+#include <kumquatloom/routing/choice_rule.hpp>
 #include <kumquatloom/routing/pick.hpp>
 #include <kumquatloom/routing/pick_error.hpp>
 #include <kumquatloom/routing/spill.hpp>
 #include <kumquatloom/routing/upstream_table.hpp>
 
-#include <cstdint>
-
 namespace kumquatloom::routing
 {
 
-/// What the cheaper of two random candidates is judged by.
-enum class choice_rule : std::uint8_t
-{
-    /// (in flight + 1) x smoothed latency.
-    load_and_latency,
-    /// Attempts in flight alone.
-    load
-};
-
 /// Chooses an upstream of one service for each attempt. `choose` and
 /// `finished` run on any thread and take no lock.
 class picker
@@ -76,7 +66,7 @@
 
     /// The upstreams.
     core::rcu_cell<upstream_table> table_;
-    /// What the cheaper candidate is judged by.
+    /// By what an upstream is chosen.
     choice_rule rule_;
     /// Choices by distance.
     core::counter_family<spill> spills_;
--- a/kumquatloom/routing/upstream.cpp
+++ b/kumquatloom/routing/upstream.cpp
@@ -13,9 +13,7 @@
 
 using namespace std::chrono_literals;
 
-/// Time over which a new upstream's share rises to its full size, and the
-/// share that it starts with.
-constexpr core::duration slow_start_time = 10s;
+/// The share that an upstream in slow start begins with.
 constexpr double slow_start_weight = 0.1;
 /// Bounds on how long a report of full slots is believed. Within them it is
 /// one smoothed latency, after which one of the requests has ended.
@@ -35,10 +33,11 @@
 
 upstream::upstream(upstream_endpoint endpoint,
                    core::time_point now,
-                   bool is_warm)
+                   core::duration warm_up)
     : endpoint_(std::move(endpoint))
     , recorder_(new health::attempt_recorder)
-    , slow_start_(is_warm ? now - slow_start_time : now)
+    , slow_start_(now)
+    , warm_up_(warm_up)
     , concurrency_limit_(endpoint_.slots)
     , reported_at_(ticks(now))
 {
@@ -57,6 +56,7 @@
     weight_.store(
         static_cast<unsigned>(std::lround(decision.weight * weight_scale)),
         std::memory_order_relaxed);
+    hopeless_.store(decision.hopeless, std::memory_order_relaxed);
     if (decision.trial)
         trial_.store(true, std::memory_order_relaxed);
     else if (decision.standing != health::upstream_standing::avoided)
@@ -77,7 +77,8 @@
 
 bool upstream::has_free_slot(core::time_point now) const
 {
-    if (in_flight() >= concurrency_limit_.load(std::memory_order_relaxed))
+    if (in_flight() >= concurrency_limit_.load(std::memory_order_relaxed) ||
+        known_in_flight() >= endpoint_.slots)
         return false;
     if (reported_load_.load(std::memory_order_relaxed) < endpoint_.slots)
         return true;
@@ -92,9 +93,19 @@
 {
     double const decided =
         weight_.load(std::memory_order_relaxed) / weight_scale;
-    double const warmth = std::chrono::duration<double>(now - slow_start_) /
-                          std::chrono::duration<double>(slow_start_time);
-    return decided * std::clamp(warmth, slow_start_weight, 1.0);
+    auto const age = now - slow_start_;
+    if (age >= warm_up_)
+        return decided;
+    double const warmth = std::chrono::duration<double>(age) /
+                          std::chrono::duration<double>(warm_up_);
+    return decided * std::max(warmth, slow_start_weight);
+}
+
+double upstream::use(core::time_point now) const
+{
+    // At least one slot is there, so that a cold upstream warms up.
+    double const slots = std::max(1.0, endpoint_.slots * weight(now));
+    return known_in_flight() / slots;
 }
 
 double upstream::cost(double fallback) const
--- a/kumquatloom/routing/upstream.hpp
+++ b/kumquatloom/routing/upstream.hpp
@@ -23,9 +23,11 @@
 class upstream : public boost::intrusive_ref_counter<upstream>
 {
 public:
-    /// An upstream that is new to the instance; it starts slowly unless
-    /// `is_warm`.
-    upstream(upstream_endpoint endpoint, core::time_point now, bool is_warm);
+    /// An upstream that is new to the instance. Its share rises to the full
+    /// one within `warm_up`; zero for one that is warm.
+    upstream(upstream_endpoint endpoint,
+             core::time_point now,
+             core::duration warm_up);
 
     /// Where it is.
     upstream_endpoint const& endpoint() const
@@ -45,6 +47,24 @@
         return in_flight_.load(std::memory_order_relaxed);
     }
 
+    /// Attempts of this instance and, as far as they have told, of its
+    /// neighbours.
+    unsigned known_in_flight() const
+    {
+        return in_flight() +
+               neighbours_in_flight_.load(std::memory_order_relaxed);
+    }
+
+    /// Stores what the neighbours have in flight.
+    void report_neighbours(unsigned in_flight)
+    {
+        neighbours_in_flight_.store(in_flight, std::memory_order_relaxed);
+    }
+
+    /// Part of its slots that is known to be in use, above 1 if requests wait
+    /// there. A cold upstream has fewer slots.
+    double use(core::time_point now) const;
+
     /// Counts an attempt that starts.
     void begin_attempt()
     {
@@ -96,6 +116,12 @@
                trial_.exchange(false, std::memory_order_relaxed);
     }
 
+    /// Whether it is so surely sick that it is no reserve of capacity.
+    bool is_hopeless() const
+    {
+        return hopeless_.load(std::memory_order_relaxed);
+    }
+
     /// Whether a trial request is asked for.
     bool wants_trial() const
     {
@@ -122,10 +148,13 @@
     upstream_endpoint endpoint_;
     /// Where attempts are recorded.
     boost::intrusive_ptr<health::attempt_recorder> recorder_;
-    /// When slow start began; far in the past for a warm upstream.
+    /// When slow start began, and how long it takes.
     core::time_point slow_start_;
+    core::duration warm_up_;
     /// Attempts in flight from this instance.
     std::atomic<unsigned> in_flight_{0};
+    /// Attempts in flight from the neighbours.
+    std::atomic<unsigned> neighbours_in_flight_{0};
     /// Most attempts in flight from this instance.
     std::atomic<unsigned> concurrency_limit_;
     /// Last decision about it.
@@ -135,6 +164,8 @@
     std::atomic<core::duration::rep> honoured_until_{0};
     /// Weight of the last decision, in thousandths.
     std::atomic<unsigned> weight_{1000};
+    /// Whether it is no reserve of capacity.
+    std::atomic<bool> hopeless_{false};
     /// Whether a trial request is asked for.
     std::atomic<bool> trial_{false};
     /// Whether it is leaving.
--- a/kumquatloom/routing/upstream_endpoint.hpp
+++ b/kumquatloom/routing/upstream_endpoint.hpp
@@ -1,9 +1,11 @@
 #ifndef KUMQUATLOOM_ROUTING_UPSTREAM_ENDPOINT_HPP
 #define KUMQUATLOOM_ROUTING_UPSTREAM_ENDPOINT_HPP
 
+#include <kumquatloom/core/clock.hpp>
 #include <kumquatloom/core/ids.hpp>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace kumquatloom::routing
@@ -25,6 +27,9 @@
     core::region region;
     /// Requests that it works on at a time.
     unsigned slots = 1;
+    /// Distinguishes the starts of an upstream that keeps its name and
+    /// address; 0 if the list does not.
+    core::incarnation incarnation = 0;
 
     friend bool operator==(upstream_endpoint const&,
                            upstream_endpoint const&) = default;
@@ -37,6 +42,8 @@
     upstream_endpoint endpoint;
     /// Whether the list says that it is leaving.
     bool leaving = false;
+    /// How much longer it is cold, if the list says so.
+    std::optional<core::duration> warm_up{};
 };
 
 } // namespace kumquatloom::routing
--- /dev/null
+++ b/kumquatloom/routing/upstream_registry.cpp
@@ -0,0 +1,103 @@
+#include <kumquatloom/routing/upstream_registry.hpp>
+
+#include <set>
+
+namespace kumquatloom::routing
+{
+
+upstream_registry::upstream_registry(upstream_registry_settings const& settings)
+    : settings_(settings)
+{
+}
+
+void upstream_registry::list_read(core::time_point previous,
+                                  core::time_point now)
+{
+    if (now - previous > settings_.outage)
+        grace_end_ = now + settings_.grace;
+}
+
+bool upstream_registry::apply(upstream_change const& change,
+                              core::time_point now)
+{
+    if (!change.entry)
+        return remove(change.id, now);
+    auto const found = upstreams_.find(change.id);
+    if (found == upstreams_.end())
+    {
+        upstreams_.emplace(change.id, registered{*change.entry, false});
+        return true;
+    }
+    auto& known = found->second;
+    bool const matters = known.lapsed ||
+                         known.entry.endpoint != change.entry->endpoint ||
+                         known.entry.leaving != change.entry->leaving;
+    known = {*change.entry, false};
+    return matters;
+}
+
+bool upstream_registry::replace(std::vector<listed_upstream> const& whole,
+                                core::time_point now)
+{
+    std::set<core::upstream_id> named;
+    bool matters = false;
+    for (auto const& entry : whole)
+    {
+        named.insert(entry.endpoint.id);
+        matters = apply({entry.endpoint.id, entry}, now) || matters;
+    }
+    std::vector<core::upstream_id> missing;
+    for (auto const& [id, item] : upstreams_)
+        if (!named.contains(id))
+            missing.push_back(id);
+    for (auto const& id : missing)
+        matters = remove(id, now) || matters;
+    return matters;
+}
+
+bool upstream_registry::expire(core::time_point now)
+{
+    if (now < grace_end_)
+        return false;
+    return std::erase_if(upstreams_,
+                         [](auto const& item)
+                         {
+                             return item.second.lapsed;
+                         }) != 0;
+}
+
+std::vector<listed_upstream> upstream_registry::listing() const
+{
+    std::vector<listed_upstream> result;
+    result.reserve(upstreams_.size());
+    for (auto const& [id, item] : upstreams_)
+        result.push_back(item.entry);
+    return result;
+}
+
+std::size_t upstream_registry::lapsed() const
+{
+    std::size_t count = 0;
+    for (auto const& [id, item] : upstreams_)
+        count += item.lapsed ? 1 : 0;
+    return count;
+}
+
+bool upstream_registry::remove(core::upstream_id const& id,
+                               core::time_point now)
+{
+    auto const found = upstreams_.find(id);
+    if (found == upstreams_.end())
+        return false;
+    // One that had announced its end has not just failed to renew.
+    if (now < grace_end_ && !found->second.entry.leaving)
+    {
+        bool const matters = !found->second.lapsed;
+        found->second.lapsed = true;
+        return matters;
+    }
+    upstreams_.erase(found);
+    return true;
+}
+
+} // namespace kumquatloom::routing
--- a/kumquatloom/routing/upstream_table.cpp
+++ b/kumquatloom/routing/upstream_table.cpp
@@ -11,6 +11,9 @@
 
 using namespace std::chrono_literals;
 
+/// Time over which a new upstream's share rises to its full size if the list
+/// does not say how long it stays cold.
+constexpr core::duration slow_start_time = 10s;
 /// How long a departure is remembered; far longer than the list lags.
 constexpr core::duration departure_memory = 5min;
 
@@ -33,7 +36,7 @@
     boost::intrusive_ptr<upstream_table> const table(new upstream_table);
     for (auto const& item : listed)
     {
-        auto const object = object_for(previous, item.endpoint, now);
+        auto const object = object_for(previous, item, now);
         bool const departed = previous && previous->has_departed(item.endpoint);
         if (item.leaving || departed)
             object->mark_leaving();
@@ -89,19 +92,16 @@
             object->publish(decision, honoured_until);
 }
 
-boost::intrusive_ptr<upstream>
-upstream_table::object_for(pointer const& previous,
-                           upstream_endpoint const& endpoint,
-                           core::time_point now)
+boost::intrusive_ptr<upstream> upstream_table::object_for(
+    pointer const& previous, listed_upstream const& item, core::time_point now)
 {
-    if (!previous)
-        // All upstreams are new to an instance that starts, but not cold.
-        return new upstream(endpoint, now, true);
-    auto known = previous->find(endpoint.id);
+    auto known = previous ? previous->find(item.endpoint.id) : nullptr;
     // Another address is another process, which starts cold.
-    if (known && known->endpoint() == endpoint)
+    if (known && known->endpoint() == item.endpoint)
         return known;
-    return new upstream(endpoint, now, false);
+    // All upstreams are new to an instance that starts, but not cold.
+    auto const unstated = previous ? slow_start_time : core::duration::zero();
+    return new upstream(item.endpoint, now, item.warm_up.value_or(unstated));
 }
 
 bool upstream_table::has_departed(upstream_endpoint const& endpoint) const
--- a/kumquatloom/routing/upstream_table.hpp
+++ b/kumquatloom/routing/upstream_table.hpp
@@ -76,10 +76,10 @@
         core::time_point forget_at;
     };
 
-    /// The object for an endpoint, old or new.
+    /// The object for a listed upstream, old or new.
     static boost::intrusive_ptr<upstream>
     object_for(pointer const& previous,
-               upstream_endpoint const& endpoint,
+               listed_upstream const& item,
                core::time_point now);
 
     /// Whether the endpoint left recently.
--- /dev/null
+++ b/stand_ins/platform_store_stand_in.cpp
@@ -0,0 +1,172 @@
+#include <kumquatloom/core/digest.hpp>
+
+#include <boost/endian/conversion.hpp>
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <stand_ins/platform_store_stand_in.hpp>
+#include <stand_ins/query.hpp>
+#include <utility>
+
+namespace kumquatloom::stand_ins
+{
+
+namespace
+{
+
+namespace json = boost::json;
+
+/// Records of one page of /log-newest.
+constexpr std::size_t page_size = 500;
+
+/// A text in the query of a request target; names need no escapes here.
+std::string query_text(std::string_view target, std::string_view key)
+{
+    auto const wanted = std::string(key) + "=";
+    auto at = target.find('?');
+    while (at != target.npos)
+    {
+        auto const part = target.substr(at + 1);
+        if (part.starts_with(wanted))
+            return std::string(part.substr(
+                wanted.size(),
+                part.find('&') == part.npos ? part.npos
+                                            : part.find('&') - wanted.size()));
+        at = target.find('&', at + 1);
+    }
+    return {};
+}
+
+template <typename Number>
+void append_number(std::string& bytes, Number number)
+{
+    auto const big = boost::endian::native_to_big(number);
+    bytes.append(reinterpret_cast<char const*>(&big), sizeof(big));
+}
+
+http_reply binary_reply(std::string body)
+{
+    auto reply = json_reply(200, std::move(body));
+    reply.response.set(boost::beast::http::field::content_type,
+                       "application/octet-stream");
+    return reply;
+}
+
+} // namespace
+
+platform_store_stand_in::platform_store_stand_in(
+    boost::asio::io_context& context, settings::endpoint const& listen)
+    : service_(context,
+               listen,
+               [this](http_request const& request)
+               {
+                   return answer(request);
+               })
+{
+}
+
+void platform_store_stand_in::put(std::string const& topic,
+                                  std::string key,
+                                  std::string value)
+{
+    auto& state = topics_[topic];
+    stored const record{state.end++, key, value};
+    state.records.push_back(record);
+    if (value.empty())
+        state.newest.erase(key);
+    else
+        state.newest[key] = record;
+}
+
+void platform_store_stand_in::forget_history()
+{
+    for (auto& [name, state] : topics_)
+        state.records.clear();
+}
+
+boost::asio::awaitable<http_reply>
+platform_store_stand_in::answer(http_request const& request)
+{
+    ++calls_;
+    std::string_view const target(request.target().data(),
+                                  request.target().size());
+    if (behaviour_ == store_behaviour::silent)
+        co_return dropped_reply();
+    if (behaviour_ != store_behaviour::normal)
+        co_return json_reply(behaviour_ == store_behaviour::down ? 503 : 429,
+                             "{}");
+    auto const path = target_path(target);
+    if (path == "/log-append")
+        co_return answer_append(request);
+    if (path == "/log-read")
+        co_return answer_read(target);
+    if (path == "/log-newest")
+        co_return answer_newest(target);
+    co_return json_reply(404, "{}");
+}
+
+http_reply platform_store_stand_in::answer_append(http_request const& request)
+{
+    std::string_view const target(request.target().data(),
+                                  request.target().size());
+    // One record of four bytes of length, one of the key's, key and value.
+    auto const& body = request.body();
+    constexpr std::size_t head = 5;
+    if (body.size() < head)
+        return json_reply(400, "{}");
+    auto const key_size = static_cast<unsigned char>(body[head - 1]);
+    put(query_text(target, "topic"),
+        body.substr(head, key_size),
+        body.substr(head + key_size));
+    return json_reply(200, R"({"offset":0,"end":1})");
+}
+
+http_reply platform_store_stand_in::answer_read(std::string_view target)
+{
+    auto& state = topics_[query_text(target, "topic")];
+    auto const from = query_number(target, "from", 0);
+    auto const first =
+        state.records.empty() ? state.end : state.records.front().offset;
+    if (from < first)
+        return json_reply(410, R"({"first":)" + std::to_string(first) + "}");
+    std::string bytes;
+    append_number<std::uint64_t>(bytes, state.end);
+    append_number<std::uint64_t>(bytes, first);
+    for (auto const& record : state.records)
+    {
+        if (record.offset < from)
+            continue;
+        append_number(bytes,
+                      static_cast<std::uint32_t>(1 + record.key.size() +
+                                                 record.value.size()));
+        bytes.push_back(static_cast<char>(record.key.size()));
+        bytes.append(record.key).append(record.value);
+    }
+    return binary_reply(std::move(bytes));
+}
+
+http_reply platform_store_stand_in::answer_newest(std::string_view target)
+{
+    auto& state = topics_[query_text(target, "topic")];
+    auto const after = query_text(target, "after");
+    json::array items;
+    bool more = false;
+    for (auto at = state.newest.upper_bound(after); at != state.newest.end();
+         ++at)
+    {
+        if (items.size() == page_size)
+        {
+            more = true;
+            break;
+        }
+        items.push_back({{"key", at->first},
+                         {"value", core::to_base64(at->second.value)},
+                         {"offset", at->second.offset}});
+    }
+    json::object const page{
+        {"items", std::move(items)}, {"hasMore", more}, {"end", state.end}};
+    return json_reply(200, json::serialize(page));
+}
+
+} // namespace kumquatloom::stand_ins
--- a/unit_tests/admission/admission_gate_test.cpp
+++ b/unit_tests/admission/admission_gate_test.cpp
@@ -235,7 +235,8 @@
                     (!best || prefix.size() > best->size()))
                     best = prefix;
             }
-            auto const found = table.match(wanted, organisation_index{0});
+            auto const found =
+                table.match({{}, wanted, 0}, organisation_index{0});
             RC_ASSERT(found.has_value() == best.has_value());
             if (best)
                 RC_ASSERT(found.value().prefix == *best);
--- a/unit_tests/cli/document_command_test.cpp
+++ b/unit_tests/cli/document_command_test.cpp
@@ -15,16 +15,16 @@
 #include <mutex>
 #include <sstream>
 #include <unit_tests/document/fleet_fixture.hpp>
-#include <unit_tests/platform/test_server.hpp>
+#include <unit_tests/log_service/test_server.hpp>
 
 namespace
 {
 
 using namespace kumquatloom;
 using namespace kumquatloom::document::testing;
-using kumquatloom::platform::testing::test_reply;
-using kumquatloom::platform::testing::test_request;
-using kumquatloom::platform::testing::test_server;
+using kumquatloom::log_service::testing::test_reply;
+using kumquatloom::log_service::testing::test_request;
+using kumquatloom::log_service::testing::test_server;
 
 /// How the log treats the next append.
 enum class append_mode
--- a/unit_tests/entry/raw_upstream.cpp
+++ b/unit_tests/entry/raw_upstream.cpp
@@ -97,7 +97,11 @@
         auto const [write_error, write_size] = co_await asio::async_write(
             socket, asio::buffer(reply.bytes), as_result);
         if (reply.reset)
+        {
             socket.set_option(asio::socket_base::linger(true, 0));
+            // The destructor would turn lingering off again.
+            socket.close();
+        }
         if (write_error || reply.close || reply.reset)
             co_return;
     }
--- /dev/null
+++ b/unit_tests/hosting/environment_test.cpp
@@ -0,0 +1,180 @@
+#include <kumquatloom/hosting/environment.hpp>
+#include <kumquatloom/hosting/environment_snapshot.hpp>
+#include <kumquatloom/hosting/neighbour_message.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <charconv>
+#include <chrono>
+
+namespace
+{
+
+using namespace kumquatloom;
+using namespace kumquatloom::hosting;
+using namespace std::chrono_literals;
+
+core::time_point const start(1000s);
+
+/// A configuration that consists of its version alone.
+boost::intrusive_ptr<document::document> parse(std::string_view text,
+                                               core::fault_list& faults)
+{
+    core::log_offset version = 0;
+    auto const read =
+        std::from_chars(text.data(), text.data() + text.size(), version);
+    if (read.ec != std::errc())
+    {
+        faults.push_back({"", std::string(text), "a number"});
+        return nullptr;
+    }
+    boost::intrusive_ptr<document::document> result(new document::document);
+    result->version = version;
+    return result;
+}
+
+routing::upstream_change listed(std::string const& id)
+{
+    routing::listed_upstream entry;
+    entry.endpoint.id = core::upstream_id(id);
+    entry.endpoint.service = core::service_name("shop");
+    entry.endpoint.host = "10.0.0.9";
+    entry.endpoint.slots = 6;
+    return {entry.endpoint.id, entry};
+}
+
+environment_page page(std::optional<std::string> document,
+                      std::vector<routing::upstream_change> upstreams,
+                      environment_position next)
+{
+    return {std::move(document), std::move(upstreams), false, next};
+}
+
+/// What a neighbour with the view sends, after its way over the wire.
+neighbour_message message_of(environment const& view, core::time_point now)
+{
+    neighbour_message message;
+    view.describe(message, now);
+    auto const received = decode<neighbour_message>(encode(message));
+    REQUIRE(received);
+    return *received;
+}
+
+} // namespace
+
+// Guards against an older configuration that replaces a newer one.
+TEST_CASE("a configuration never reverts", "[hosting]")
+{
+    environment view(parse);
+    CHECK(view.apply(page("5", {}, {1, 0}), start, start).document);
+    REQUIRE(view.document()->version == 5);
+
+    SECTION("an older or equal one is ignored")
+    {
+        CHECK_FALSE(view.apply(page("4", {}, {2, 0}), start, start).document);
+        CHECK_FALSE(view.apply(page("5", {}, {3, 0}), start, start).document);
+        CHECK(view.document()->version == 5);
+    }
+
+    SECTION("one that cannot be read leaves the old one in force")
+    {
+        CHECK_FALSE(view.apply(page("x", {}, {2, 0}), start, start).document);
+        CHECK(view.document()->version == 5);
+        CHECK(view.apply(page("6", {}, {3, 0}), start, start).document);
+    }
+
+    SECTION("not even by a neighbour's snapshot")
+    {
+        environment old(parse);
+        old.apply(page("3", {}, {9, 9}), start, start);
+        CHECK_FALSE(view.apply(old.snapshot(start), start).document);
+        CHECK(view.document()->version == 5);
+    }
+}
+
+// Guards against neighbours that miss a change, or take one for another.
+TEST_CASE("neighbours follow the one that reads", "[hosting]")
+{
+    environment reader(parse);
+    environment follower(parse);
+    reader.apply(page("1", {listed("a")}, {1, 10}), start, start);
+
+    SECTION("one that knows nothing needs everything")
+    {
+        CHECK_FALSE(follower.apply(message_of(reader, start), start));
+        auto const sent = reader.snapshot(start);
+        auto copy = sent;
+        auto const received = decode<environment_snapshot>(encode(copy));
+        REQUIRE(received);
+        auto const change = follower.apply(*received, start);
+        CHECK(change.document);
+        CHECK(change.listing);
+        CHECK(follower.position() == reader.position());
+        CHECK(follower.upstreams().listing().size() == 1);
+
+        SECTION("then messages are enough")
+        {
+            reader.apply(
+                page({}, {listed("b")}, {1, 12}), start + 1s, start + 1s);
+            auto const next =
+                follower.apply(message_of(reader, start + 1s), start + 1s);
+            REQUIRE(next);
+            CHECK(next->listing);
+            CHECK(follower.upstreams().listing().size() == 2);
+            CHECK(*follower.as_of() == start + 1s);
+        }
+
+        SECTION("a lost message is made up for by the next one")
+        {
+            reader.apply(
+                page({}, {listed("b")}, {1, 12}), start + 1s, start + 1s);
+            reader.apply(
+                page({}, {listed("c")}, {1, 14}), start + 2s, start + 2s);
+            REQUIRE(follower.apply(message_of(reader, start + 2s), start + 2s));
+            CHECK(follower.upstreams().listing().size() == 3);
+        }
+
+        SECTION("too many lost ones by a snapshot")
+        {
+            for (int i = 0; i < 10; ++i)
+                reader.apply(page({},
+                                  {listed("n" + std::to_string(i))},
+                                  {1, 12 + static_cast<unsigned>(i)}),
+                             start + 1s,
+                             start + 1s);
+            CHECK_FALSE(
+                follower.apply(message_of(reader, start + 1s), start + 1s));
+        }
+
+        SECTION("a new configuration is fetched")
+        {
+            reader.apply(page("2", {}, {2, 10}), start + 1s, start + 1s);
+            CHECK_FALSE(
+                follower.apply(message_of(reader, start + 1s), start + 1s));
+        }
+
+        SECTION("who knows less proves nothing")
+        {
+            follower.apply(page({}, {}, {1, 20}), start + 1s, start + 1s);
+            REQUIRE(follower.apply(message_of(reader, start + 5s), start + 5s));
+            CHECK(*follower.as_of() == start + 1s);
+        }
+    }
+}
+
+// Guards against malformed datagrams that are taken for messages.
+TEST_CASE("only whole messages of the known version are read", "[hosting]")
+{
+    neighbour_message message;
+    message.domain = core::failure_domain("west");
+    message.reports.push_back({7, 2, -12});
+    auto const bytes = encode(message);
+    auto const read = decode<neighbour_message>(bytes);
+    REQUIRE(read);
+    CHECK(read->reports.at(0).in_flight == 2);
+    CHECK(read->reports.at(0).evidence == -12);
+    CHECK_FALSE(decode<neighbour_message>(bytes.substr(0, bytes.size() - 1)));
+    CHECK_FALSE(decode<neighbour_message>("noise"));
+    message.version = 2;
+    CHECK(encode(message).empty());
+}
--- a/unit_tests/platform/log_client_test.cpp
+++ b/unit_tests/log_service/log_client_test.cpp
@@ -1,19 +1,19 @@
 #include <kumquatloom/cli/blocking.hpp>
 #include <kumquatloom/document/log_record.hpp>
-#include <kumquatloom/platform/instance_list_client.hpp>
-#include <kumquatloom/platform/log_client.hpp>
+#include <kumquatloom/log_service/instance_list_client.hpp>
+#include <kumquatloom/log_service/log_client.hpp>
 
 #include <catch2/catch.hpp>
 
 #include <semaphore>
-#include <unit_tests/platform/test_server.hpp>
+#include <unit_tests/log_service/test_server.hpp>
 
 namespace
 {
 
 using namespace kumquatloom;
-using namespace kumquatloom::platform;
-using namespace kumquatloom::platform::testing;
+using namespace kumquatloom::log_service;
+using namespace kumquatloom::log_service::testing;
 using namespace std::chrono_literals;
 using cli::run_blocking;
 
--- a/unit_tests/platform/test_server.cpp
+++ b/unit_tests/log_service/test_server.cpp
@@ -10,9 +10,9 @@
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 
-#include <unit_tests/platform/test_server.hpp>
+#include <unit_tests/log_service/test_server.hpp>
 
-namespace kumquatloom::platform::testing
+namespace kumquatloom::log_service::testing
 {
 
 namespace
@@ -98,4 +98,4 @@
     return {"127.0.0.1", acceptor_.local_endpoint().port()};
 }
 
-} // namespace kumquatloom::platform::testing
+} // namespace kumquatloom::log_service::testing
--- a/unit_tests/platform/test_server.hpp
+++ b/unit_tests/log_service/test_server.hpp
@@ -1,5 +1,5 @@
-#ifndef KUMQUATLOOM_UNIT_TESTS_PLATFORM_TEST_SERVER_HPP
-#define KUMQUATLOOM_UNIT_TESTS_PLATFORM_TEST_SERVER_HPP
+#ifndef KUMQUATLOOM_UNIT_TESTS_LOG_SERVICE_TEST_SERVER_HPP
+#define KUMQUATLOOM_UNIT_TESTS_LOG_SERVICE_TEST_SERVER_HPP
 
 #include <kumquatloom/settings/endpoint.hpp>
 
@@ -10,7 +10,7 @@
 #include <string>
 #include <thread>
 
-namespace kumquatloom::platform::testing
+namespace kumquatloom::log_service::testing
 {
 
 /// What a test server received.
@@ -56,6 +56,6 @@
     std::thread thread_;
 };
 
-} // namespace kumquatloom::platform::testing
+} // namespace kumquatloom::log_service::testing
 
 #endif
--- /dev/null
+++ b/unit_tests/membership/read_schedule_test.cpp
@@ -0,0 +1,122 @@
+#include <kumquatloom/membership/read_schedule.hpp>
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+#include <algorithm>
+#include <chrono>
+#include <vector>
+
+namespace
+{
+
+using namespace kumquatloom;
+using namespace kumquatloom::membership;
+using namespace std::chrono_literals;
+
+core::time_point const start(1000s);
+
+} // namespace
+
+// Guards against a failure domain of which every instance reads the store.
+TEST_CASE("one instance reads for its failure domain", "[membership]")
+{
+    read_schedule first({});
+    read_schedule second({});
+    CHECK(first.due(0, start));
+    CHECK(second.due(1, start));
+    first.know(start);
+    second.know(start);
+
+    SECTION("the first in rank reads when its knowledge is old")
+    {
+        CHECK_FALSE(first.due(0, start + 400ms));
+        CHECK(first.due(0, start + 500ms));
+        CHECK_FALSE(second.due(1, start + 500ms));
+    }
+
+    SECTION("the next one reads if it does not")
+    {
+        CHECK(second.due(1, start + 700ms));
+    }
+
+    SECTION("a neighbour's reading counts as the own")
+    {
+        second.know(start + 600ms);
+        CHECK_FALSE(second.due(1, start + 700ms));
+        // Older news are no news.
+        second.know(start);
+        CHECK_FALSE(second.due(1, start + 700ms));
+    }
+
+    SECTION("one that the store refuses lets others go first")
+    {
+        first.failed(start + 500ms);
+        CHECK_FALSE(first.due(0, start + 700ms));
+        CHECK(second.due(1, start + 700ms));
+        first.succeeded(start + 800ms);
+        CHECK(first.due(0, start + 800ms));
+    }
+
+    SECTION("failures in a row are repeated less often, but not seldom")
+    {
+        for (int i = 0; i < 40; ++i)
+            first.failed(start + 1s);
+        CHECK_FALSE(first.due(0, start + 1s + 500ms));
+        CHECK(first.due(0, start + 1s + 600ms));
+    }
+}
+
+// Guards against a change that is not in force in time because the reader has
+// died, whatever the rank of those that are left.
+TEST_CASE("everybody reads before two seconds are over", "[membership]")
+{
+    rc::prop("whatever the rank",
+             []
+             {
+                 auto const rank = *rc::gen::inRange<std::size_t>(0, 200);
+                 read_schedule schedule({});
+                 schedule.know(start);
+                 RC_ASSERT(schedule.due(rank, start + 1500ms));
+             });
+}
+
+// Plays a domain of twelve in steps: some refused by the store, some dead.
+TEST_CASE("the knowledge of a domain stays fresh while any can read",
+          "[membership]")
+{
+    rc::prop("with a random set of instances that cannot read",
+             []
+             {
+                 constexpr std::size_t size = 12;
+                 auto const refused = *rc::gen::container<std::vector<bool>>(
+                     size, rc::gen::arbitrary<bool>());
+                 RC_PRE(std::count(refused.begin(), refused.end(), false) > 0);
+                 std::vector<read_schedule> domain(size, read_schedule({}));
+                 for (auto& item : domain)
+                     item.know(start);
+                 auto known = start;
+                 unsigned reads = 0;
+                 for (auto now = start; now < start + 20s; now += 25ms)
+                 {
+                     for (std::size_t rank = 0; rank < size; ++rank)
+                     {
+                         if (!domain[rank].due(rank, now))
+                             continue;
+                         if (refused[rank])
+                         {
+                             domain[rank].failed(now);
+                             continue;
+                         }
+                         ++reads;
+                         domain[rank].succeeded(now);
+                         known = now;
+                         for (auto& item : domain)
+                             item.know(now);
+                     }
+                     RC_ASSERT(now - known <= 1700ms);
+                 }
+                 // About two reads a second for all together.
+                 RC_ASSERT(reads <= 45U);
+             });
+}
