Close connections after ambiguous requests; explain failures from logs

Cause: tried as a hostile caller, three things were open: after an unknown transfer coding the rest of the connection was read as a request, a chunk extension of 200 KB and an obsolete line folding were accepted. And nobody could get from a request's id to its cause without a script.

Change: a header that is refused closes the connection, folded lines are found before the parser unfolds them, chunk extensions and the bytes that wait for the parser are bounded.

--- a/kumquatloom/admission/refusal_reason.cpp
+++ b/kumquatloom/admission/refusal_reason.cpp
@@ -158,6 +158,22 @@
     return 0;
 }
 
+bool is_fault_of_header(refusal_reason value)
+{
+    switch (value)
+    {
+    case refusal_reason::malformed_request:
+    case refusal_reason::method_not_supported:
+    case refusal_reason::bad_framing:
+    case refusal_reason::bad_host:
+    case refusal_reason::header_too_large:
+    case refusal_reason::body_too_large:
+        return true;
+    default:
+        return false;
+    }
+}
+
 bool states_not_run(unsigned status)
 {
     constexpr unsigned request_timeout = 408;
--- a/kumquatloom/admission/refusal_reason.hpp
+++ b/kumquatloom/admission/refusal_reason.hpp
@@ -59,6 +59,10 @@
 /// HTTP status of the answer.
 unsigned http_status(refusal_reason value);
 
+/// Whether the request's header itself was refused, so that another recipient
+/// could find its end elsewhere.
+bool is_fault_of_header(refusal_reason value);
+
 /// Whether a status tells callers that their request was not run and never
 /// will be.
 bool states_not_run(unsigned status);
--- a/kumquatloom/cli/commands.hpp
+++ b/kumquatloom/cli/commands.hpp
@@ -19,6 +19,8 @@
 int run_serve(std::vector<std::string> const& arguments);
 /// Shows the state of an entry instance.
 int run_status(std::vector<std::string> const& arguments);
+/// Says from logs why a request was not served in time.
+int run_explain(std::vector<std::string> const& arguments);
 /// Lets an entry instance leave.
 int run_drain(std::vector<std::string> const& arguments);
 
--- /dev/null
+++ b/kumquatloom/cli/explain_command.cpp
@@ -0,0 +1,92 @@
+#include <kumquatloom/cli/command.hpp>
+#include <kumquatloom/cli/command_line.hpp>
+#include <kumquatloom/cli/commands.hpp>
+#include <kumquatloom/explain/story_book.hpp>
+
+#include <cxxopts.hpp>
+
+#include <iomanip>
+#include <iostream>
+
+namespace kumquatloom::cli
+{
+
+namespace
+{
+
+/// Prints how often each cause was found, the most frequent one first.
+void print_ledger(explain::story_book const& book)
+{
+    auto const counts = book.ledger();
+    std::multimap<std::size_t, explain::failure_cause, std::greater<>> sorted;
+    for (std::size_t i = 0; i < counts.size(); ++i)
+        if (counts[i] != 0)
+            sorted.emplace(counts[i], static_cast<explain::failure_cause>(i));
+    std::cout << book.size() << " requests\n";
+    for (auto const& [count, cause] : sorted)
+        std::cout << std::setw(9) << count << "  " << to_string(cause) << '\n';
+    if (book.dropped_lines() != 0)
+        std::cout << book.dropped_lines() << " lines were dropped\n";
+}
+
+int print_story(explain::request_story const& story)
+{
+    for (auto const& line : story.timeline())
+    {
+        std::cout << line.time_ms << ' ' << line.instance << ' ' << line.event;
+        for (auto const& [name, value] : line.fields)
+            if (name != "time_ms" && name != "instance" && name != "event" &&
+                name != "level" && name != "incarnation" && name != "request")
+                std::cout << ' ' << name << '=' << value;
+        std::cout << '\n';
+    }
+    auto const missing = story.missing();
+    if (!missing.empty())
+        std::cout << "incomplete: " << missing << '\n';
+    std::cout << "cause: " << story.sentence() << '\n';
+    return story.cause() == explain::failure_cause::unknown ? exit_failure
+                                                            : exit_success;
+}
+
+} // namespace
+
+int run_explain(std::vector<std::string> const& arguments)
+{
+    cxxopts::Options options("kumquatloom explain",
+                             "Reads logs of instances from standard input and "
+                             "says why a request was not served in time, or "
+                             "counts the causes of all.");
+    options.add_options()("request",
+                          "id of the request",
+                          cxxopts::value<std::string>(),
+                          "ID")("ledger", "count the causes of all requests");
+    options.parse_positional({"request"});
+    options.positional_help("ID");
+    int status = exit_success;
+    auto const parsed = parse_arguments(options,
+                                        "kumquatloom explain "
+                                        "9c41d07be2a35f68 < logs",
+                                        arguments,
+                                        status);
+    if (!parsed)
+        return status;
+    bool const wants_ledger = parsed->count("ledger") != 0;
+    if (wants_ledger == (parsed->count("request") != 0))
+    {
+        std::cerr << "either a request or --ledger is needed\n\n"
+                  << options.help();
+        return exit_usage;
+    }
+    explain::story_book book;
+    if (wants_ledger)
+    {
+        book.read(std::cin, {});
+        print_ledger(book);
+        return exit_success;
+    }
+    auto const id = (*parsed)["request"].as<std::string>();
+    book.read(std::cin, id);
+    return print_story(book.story(id));
+}
+
+} // namespace kumquatloom::cli
--- a/kumquatloom/entry/call.hpp
+++ b/kumquatloom/entry/call.hpp
@@ -41,6 +41,8 @@
     core::duration attempts{};
     /// The memory of the answer until it is written.
     memory_account::reservation memory;
+    /// Whether its header was refused, so that its end is not certain.
+    bool is_ambiguous = false;
     /// Requested when the caller goes away.
     cancellation caller_left;
 
--- a/kumquatloom/entry/caller_session.cpp
+++ b/kumquatloom/entry/caller_session.cpp
@@ -1,5 +1,6 @@
 #include <kumquatloom/entry/call.hpp>
 #include <kumquatloom/entry/caller_session.hpp>
+#include <kumquatloom/entry/folded_line.hpp>
 #include <kumquatloom/entry/instance_state.hpp>
 #include <kumquatloom/entry/proxy_handler.hpp>
 
@@ -12,6 +13,7 @@
 
 #include <array>
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <utility>
 
@@ -23,6 +25,11 @@
 
 /// Bytes that are read at once while waiting for a request.
 constexpr std::size_t first_read_size = 4096;
+/// Bytes that are buffered before they are parsed: a large header, or the line
+/// of a chunk.
+constexpr std::size_t max_buffered_bytes = 128 * 1024;
+/// Longest extensions of one chunk.
+constexpr std::size_t max_chunk_extensions = 1024;
 /// Time and bytes that a caller may use up after a refusal, so that it can
 /// read the answer before the connection is reset.
 constexpr std::chrono::seconds linger_time{1};
@@ -77,6 +84,7 @@
                                instance_state& state,
                                proxy_handler& handler)
     : stream_(std::move(socket))
+    , buffer_(max_buffered_bytes)
     , state_(state)
     , handler_(handler)
 {
@@ -151,8 +159,17 @@
     parser.header_limit(static_cast<std::uint32_t>(bounds.header_bytes));
     parser.body_limit(bounds.body_bytes);
     stream_.expires_after(bounds.header_timeout);
-    auto [error, size] =
-        co_await http::async_read_header(stream_, buffer_, parser, as_result);
+    // A chunk's extensions mean nothing here and could grow without bound.
+    std::function<void(std::uint64_t, beast::string_view, error_code&)>
+        bound_extensions = [](std::uint64_t,
+                              beast::string_view extensions,
+                              error_code& failure)
+    {
+        if (extensions.size() > max_chunk_extensions)
+            failure = http::error::bad_chunk_extension;
+    };
+    parser.on_chunk_header(bound_extensions);
+    auto error = co_await read_header(parser);
     if (!error)
     {
         bool const allowed = co_await allow_body(parser);
@@ -168,6 +185,40 @@
     co_return !error;
 }
 
+asio::awaitable<error_code> caller_session::read_header(parser_type& parser)
+{
+    parser.eager(false);
+    while (!parser.is_header_done())
+    {
+        auto const received = buffer_.data();
+        std::string_view const bytes(static_cast<char const*>(received.data()),
+                                     received.size());
+        if (has_folded_line(bytes))
+            co_return http::error::bad_value;
+        if (!bytes.empty())
+        {
+            error_code error;
+            buffer_.consume(parser.put(received, error));
+            if (error && error != http::error::need_more)
+                co_return error;
+            if (parser.is_header_done())
+                break;
+        }
+        if (buffer_.size() + first_read_size > max_buffered_bytes)
+            co_return http::error::header_limit;
+        auto const [error, size] = co_await stream_.async_read_some(
+            buffer_.prepare(first_read_size), as_result);
+        buffer_.commit(size);
+        if (error == asio::error::eof)
+            co_return parser.got_some() || buffer_.size() != 0
+                ? http::error::partial_message
+                : http::error::end_of_stream;
+        if (error)
+            co_return error;
+    }
+    co_return error_code();
+}
+
 document::caller_limits caller_session::limits() const
 {
     auto const document = state_.document.read();
@@ -211,7 +262,10 @@
     // The length stays that of the body that GET would get.
     if (without_body)
         response.body().clear();
-    bool const more = co_await write(response, keep_alive);
+    // After a request that could be read in two ways nothing tells where the
+    // next one begins.
+    bool const more =
+        co_await write(response, keep_alive && !current.is_ambiguous);
     auto const total = core::clock::now() - current.received;
     state_.request_latency.record(total);
     if (current.attempts != core::duration::zero())
--- /dev/null
+++ b/kumquatloom/explain/request_story.cpp
@@ -0,0 +1,163 @@
+#include <kumquatloom/explain/request_story.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace kumquatloom::explain
+{
+
+namespace
+{
+
+constexpr std::string_view refused_event = "request_refused";
+constexpr std::string_view answered_event = "request_answered";
+constexpr std::string_view started_event = "attempt_started";
+constexpr std::string_view ended_event = "attempt_ended";
+
+constexpr std::int64_t first_server_error = 500;
+
+/// Whether a line of an attempt belongs to the attempt of another one.
+bool same_attempt(log_line const& left, log_line const& right)
+{
+    return left.instance == right.instance &&
+           left.text("attempt") == right.text("attempt");
+}
+
+} // namespace
+
+void request_story::add(log_line line)
+{
+    lines_.push_back(std::move(line));
+}
+
+bool request_story::went_wrong() const
+{
+    auto const found = cause();
+    return found != failure_cause::none;
+}
+
+failure_cause request_story::cause() const
+{
+    if (auto const* const refusal = last_of(refused_event))
+        return refusal->text("reason") == "no-document"
+                   ? failure_cause::no_configuration
+                   : failure_cause::not_allowed;
+    if (auto const* const answer = last_of(answered_event))
+        return cause_of_answer(*answer);
+    // A routine answer may have been left out; a failed one never is.
+    return last_of(ended_event) != nullptr ? failure_cause::none
+                                           : failure_cause::unknown;
+}
+
+std::string request_story::sentence() const
+{
+    std::string text(to_string(cause()));
+    if (auto const* const answer = last_of(answered_event))
+        text += ": status " + answer->text("status") + " (" +
+                answer->text("outcome") + ") after " +
+                answer->text("total_ms") + " ms and " +
+                answer->text("attempts") + " attempts";
+    else if (auto const* const refusal = last_of(refused_event))
+        text += ": status " + refusal->text("status") + ", " +
+                refusal->text("reason") + ", configuration " +
+                refusal->text("document");
+    if (auto const* const ended = last_of(ended_event))
+        text += "; last attempt at " + ended->text("upstream") + ": " +
+                ended->text("end") + " after " + ended->text("latency_ms") +
+                " ms";
+    if (auto const* const started = last_of(started_event))
+        text += ", which was " + started->text("standing") + " with " +
+                started->text("known_in_flight") + " of " +
+                started->text("slots") + " slots known in use by a list " +
+                started->text("list_age_ms") + " ms old";
+    return text;
+}
+
+std::vector<log_line> request_story::timeline() const
+{
+    auto sorted = lines_;
+    std::stable_sort(sorted.begin(),
+                     sorted.end(),
+                     [](log_line const& left, log_line const& right)
+                     {
+                         return left.time_ms < right.time_ms;
+                     });
+    return sorted;
+}
+
+std::string request_story::missing() const
+{
+    if (lines_.empty())
+        return "no line names the request: it reached no instance whose log "
+               "was given, or its lines were left out";
+    if (last_of(answered_event) == nullptr && last_of(refused_event) == nullptr)
+        return "the line of the answer is missing: the instance ended, or the "
+               "request went well and its line was left out";
+    return {};
+}
+
+log_line const* request_story::last_of(std::string_view event) const
+{
+    auto const found = std::find_if(lines_.rbegin(),
+                                    lines_.rend(),
+                                    [event](log_line const& line)
+                                    {
+                                        return line.event == event;
+                                    });
+    return found == lines_.rend() ? nullptr : &*found;
+}
+
+failure_cause request_story::cause_of_answer(log_line const& answer) const
+{
+    bool const late = answer.text("late") == "true";
+    auto const reason = answer.text("reason");
+    if (answer.text("caller_left") == "true")
+        return failure_cause::caller_left;
+    if (reason.empty() && answer.number("status") >= first_server_error)
+        return failure_cause::upstream_error;
+    if (reason.empty() && !late)
+        return failure_cause::none;
+    if (reason.empty())
+    {
+        if (answer.number("attempts") > 1)
+            return failure_cause::late_retry;
+        auto const* const started = last_of(started_event);
+        if (started == nullptr)
+            return failure_cause::unknown;
+        auto const waited = started->number("waited_ms");
+        return waited * 2 > answer.number("total_ms")
+                   ? failure_cause::late_waiting
+                   : failure_cause::late_upstream;
+    }
+    if (answer.number("attempts") == 0)
+        return failure_cause::no_free_slot;
+    return cause_of_attempt();
+}
+
+failure_cause request_story::cause_of_attempt() const
+{
+    auto const* const ended = last_of(ended_event);
+    if (ended == nullptr)
+        return failure_cause::unknown;
+    auto const end = ended->text("end");
+    if (end == "refused")
+        return failure_cause::refused_by_upstreams;
+    if (end == "timeout")
+        return failure_cause::silent_upstream;
+    if (end == "connect-failure" || end == "no-connection" ||
+        end == "not-written")
+        return failure_cause::unreachable;
+    if (end == "wrong-answer" || end == "answer-too-large" || end == "answered")
+        return failure_cause::wrong_answer;
+    if (end == "cancelled")
+        return failure_cause::caller_left;
+    // The connection broke. Was that to be expected?
+    for (auto const& line : lines_)
+        if (line.event == started_event && same_attempt(line, *ended))
+            return line.text("standing") == "avoided"
+                       ? failure_cause::reserve_failed
+                       : failure_cause::new_gray_upstream;
+    return failure_cause::unknown;
+}
+
+} // namespace kumquatloom::explain
--- /dev/null
+++ b/kumquatloom/explain/story_book.cpp
@@ -0,0 +1,45 @@
+#include <kumquatloom/explain/story_book.hpp>
+
+#include <utility>
+
+namespace kumquatloom::explain
+{
+
+void story_book::read(std::istream& input, std::string const& only)
+{
+    std::string text;
+    while (std::getline(input, text))
+    {
+        // Most lines of large logs are of other requests.
+        if (!only.empty() && text.find(only) == text.npos &&
+            text.find("log_lines_dropped") == text.npos)
+            continue;
+        auto line = parse_log_line(text);
+        if (!line)
+            continue;
+        if (line->event == "log_lines_dropped")
+            dropped_ += static_cast<std::size_t>(line->number("count"));
+        auto const id = line->text("request");
+        if (!id.empty() && (only.empty() || id == only))
+            stories_[id].add(std::move(*line));
+    }
+}
+
+request_story const& story_book::story(std::string const& id) const
+{
+    static request_story const empty;
+    auto const found = stories_.find(id);
+    return found == stories_.end() ? empty : found->second;
+}
+
+std::array<std::size_t, static_cast<std::size_t>(failure_cause::count)>
+story_book::ledger() const
+{
+    std::array<std::size_t, static_cast<std::size_t>(failure_cause::count)>
+        counts{};
+    for (auto const& [id, story] : stories_)
+        ++counts[static_cast<std::size_t>(story.cause())];
+    return counts;
+}
+
+} // namespace kumquatloom::explain
--- a/kumquatloom/hosting/hosted_instance.cpp
+++ b/kumquatloom/hosting/hosted_instance.cpp
@@ -290,6 +290,8 @@
         {
             auto const now = core::clock::now();
             near.tick(now);
+            if (view.as_of())
+                state.listing_as_of = view.as_of()->time_since_epoch().count();
             if (!state.leaving)
                 reader.tick(near.table().rank(now), now);
             if (now >= next_decision)
--- /dev/null
+++ b/unit_tests/explain/request_story_test.cpp
@@ -0,0 +1,107 @@
+#include <kumquatloom/explain/story_book.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <sstream>
+#include <string>
+
+namespace
+{
+
+using namespace kumquatloom::explain;
+
+/// A line as a collector passes it on, with a time and a name before it.
+std::string line(std::string const& event, std::string const& fields)
+{
+    return "  1.25 front-1 {\"time_ms\":17,\"level\":\"info\",\"event\":\"" +
+           event + "\",\"instance\":\"front-1\",\"request\":\"a1\"," + fields +
+           "}\n";
+}
+
+std::string started(std::string const& standing, int waited_ms = 0)
+{
+    return line("attempt_started",
+                R"("attempt":0,"upstream":"i-1","standing":")" + standing +
+                    R"(","waited_ms":)" + std::to_string(waited_ms));
+}
+
+std::string ended(std::string const& end)
+{
+    return line("attempt_ended",
+                R"("attempt":0,"upstream":"i-1","latency_ms":3,"end":")" + end +
+                    "\"");
+}
+
+std::string answered(int status, std::string const& reason, bool late = false)
+{
+    return line("request_answered",
+                R"("status":)" + std::to_string(status) +
+                    R"(,"outcome":"unknown","attempts":1,"total_ms":900,)"
+                    R"("caller_left":false,"late":)" +
+                    (late ? "true" : "false") + R"(,"reason":")" + reason +
+                    "\"");
+}
+
+failure_cause cause_of(std::string const& log)
+{
+    std::istringstream input(log);
+    story_book book;
+    book.read(input, "a1");
+    return book.story("a1").cause();
+}
+
+} // namespace
+
+// Guards against an on-call engineer who cannot find out why a request failed.
+TEST_CASE("the lines of a request tell why it failed", "[explain]")
+{
+    CHECK(cause_of(started("normal") + ended("answered") + answered(200, "")) ==
+          failure_cause::none);
+    CHECK(cause_of(started("normal") + ended("cut-short") +
+                   answered(502, "upstream-failure")) ==
+          failure_cause::new_gray_upstream);
+    CHECK(cause_of(started("avoided") + ended("cut-short") +
+                   answered(502, "upstream-failure")) ==
+          failure_cause::reserve_failed);
+    CHECK(cause_of(started("normal") + ended("refused") +
+                   answered(503, "overloaded")) ==
+          failure_cause::refused_by_upstreams);
+    CHECK(cause_of(started("normal") + ended("timeout") +
+                   answered(504, "deadline-passed")) ==
+          failure_cause::silent_upstream);
+    CHECK(cause_of(started("normal") + ended("answered") + answered(500, "")) ==
+          failure_cause::upstream_error);
+    CHECK(cause_of(started("normal", 700) + ended("answered") +
+                   answered(200, "", true)) == failure_cause::late_waiting);
+    CHECK(cause_of(started("normal", 0) + ended("answered") +
+                   answered(200, "", true)) == failure_cause::late_upstream);
+    CHECK(cause_of(line("request_refused", R"("reason":"no-document")")) ==
+          failure_cause::no_configuration);
+    CHECK(cause_of(line("request_refused", R"("reason":"unknown-path")")) ==
+          failure_cause::not_allowed);
+}
+
+TEST_CASE("missing lines are said to be missing", "[explain]")
+{
+    std::istringstream input("noise\n{}\n" + started("normal"));
+    story_book book;
+    book.read(input, "a1");
+    CHECK(book.story("a1").cause() == failure_cause::unknown);
+    CHECK_FALSE(book.story("a1").missing().empty());
+    CHECK_FALSE(book.story("b2").missing().empty());
+}
+
+TEST_CASE("the ledger counts the causes of all requests", "[explain]")
+{
+    std::istringstream input(started("normal") + ended("cut-short") +
+                             answered(502, "upstream-failure") +
+                             R"({"event":"log_lines_dropped","count":4})" +
+                             "\n");
+    story_book book;
+    book.read(input, {});
+    CHECK(book.size() == 1);
+    CHECK(book.dropped_lines() == 4);
+    auto const index =
+        static_cast<std::size_t>(failure_cause::new_gray_upstream);
+    CHECK(book.ledger().at(index) == 1);
+}
