Let the own domain try avoided upstreams, and only on paid retries

All four domains tried every avoided upstream, which spent the retry budget of safe requests, and a fault of one domain's path to an upstream took it from all.

Change: only instances of an upstream's own domain try it, every 1.5 s for all together, and only with a request whose retry the budget can pay for. Evidence of another domain has four tenths of its weight: it does not outweigh a good record of the own domain.

--- a/kumquatloom/health/sickness_settings.hpp
+++ b/kumquatloom/health/sickness_settings.hpp
@@ -48,7 +48,7 @@
     double late_factor = 4;
     /// Time between two trial requests to an avoided upstream, from all
     /// observers together.
-    std::chrono::milliseconds trial_interval{1000};
+    std::chrono::milliseconds trial_interval{1500};
 
     /// The weight of a result; `is_late` only matters for a success.
     double weight(attempt_result result, bool is_late) const;
--- a/kumquatloom/hosting/neighbourhood.cpp
+++ b/kumquatloom/hosting/neighbourhood.cpp
@@ -13,6 +13,13 @@
 /// time that a request takes.
 constexpr std::chrono::milliseconds load_interval{50};
 
+/// Part of its weight that evidence has here. A neighbour has the same paths.
+/// What another domain sees may be a fault of its own path: it is enough to
+/// avoid an upstream that nobody here has used lately, but does not outweigh a
+/// good record.
+constexpr double neighbour_trust = 1;
+constexpr double foreign_trust = 0.4;
+
 } // namespace
 
 neighbourhood::neighbourhood(boost::asio::io_context& context,
@@ -105,7 +112,7 @@
         return;
     auto const now = core::clock::now();
     loads_.tell_domain(report.domain, report.reports, now);
-    board_.merge(report.reports, now);
+    board_.merge(report.reports, foreign_trust, now);
     board_.report_neighbours(loads_.totals());
     // It came from outside, so that the neighbours do not know it yet.
     if (table_.knows(host))
@@ -150,7 +157,7 @@
         send_to({host, self_.address.port}, false);
     loads_.tell(host, message.reports);
     relay_.collect(message.reports);
-    board_.merge(message.reports, now);
+    board_.merge(message.reports, neighbour_trust, now);
     board_.report_neighbours(loads_.totals());
     hooks_.learned(host, message);
 }
--- a/kumquatloom/hosting/upstream_board.cpp
+++ b/kumquatloom/hosting/upstream_board.cpp
@@ -21,6 +21,19 @@
 constexpr unsigned max_in_flight = 255;
 constexpr double max_evidence = 100;
 
+/// Whether an upstream is in the failure domain of this instance.
+bool is_near(routing::upstream_table const& table, core::upstream_id const& id)
+{
+    return std::any_of(table.entries().begin(),
+                       table.entries().end(),
+                       [&](routing::upstream_table::entry const& entry)
+                       {
+                           return entry.distance ==
+                                      routing::spill::own_domain &&
+                                  entry.object->endpoint().id == id;
+                       });
+}
+
 } // namespace
 
 std::uint32_t short_hash(core::upstream_id const& id)
@@ -105,6 +118,7 @@
 }
 
 void upstream_board::merge(std::vector<upstream_report> const& reports,
+                           double trust,
                            core::time_point now)
 {
     bool bad = false;
@@ -113,8 +127,9 @@
         auto const found = upstreams_.find(told.upstream);
         if (found == upstreams_.end() || told.evidence == 0)
             continue;
-        found->second.sickness->merge(
-            found->second.object->endpoint().id, told.evidence / tenths, now);
+        found->second.sickness->merge(found->second.object->endpoint().id,
+                                      trust * told.evidence / tenths,
+                                      now);
         bad = bad || told.evidence > 0;
     }
     if (bad)
@@ -146,7 +161,11 @@
     {
         if (!service.table)
             continue;
-        auto const decisions = service.sickness.decide(now);
+        auto decisions = service.sickness.decide(now);
+        // Trials cost a request each; the domain of an upstream makes them.
+        for (auto& decision : decisions)
+            decision.trial =
+                decision.trial && is_near(*service.table, decision.upstream);
         // Nothing here is an ejection, so that none has to be honoured.
         service.table->publish(decisions, now);
         for (auto const& decision : decisions)
--- a/kumquatloom/hosting/upstream_board.hpp
+++ b/kumquatloom/hosting/upstream_board.hpp
@@ -41,8 +41,10 @@
                 health::attempt_report const& report,
                 core::time_point now);
 
-    /// Adds the evidence of a neighbour.
+    /// Adds the evidence of others, each piece with the part of its weight
+    /// that it has here.
     void merge(std::vector<upstream_report> const& reports,
+               double trust,
                core::time_point now);
 
     /// Stores what all neighbours have in flight.
--- a/kumquatloom/limits/allowance.hpp
+++ b/kumquatloom/limits/allowance.hpp
@@ -51,6 +51,15 @@
         }
     }
 
+    /// Whether take() would succeed, as far as other threads let it.
+    bool
+    covers(std::int64_t earned, std::int64_t burst, std::int64_t cost) const
+    {
+        auto const spent = spent_.load(std::memory_order_relaxed);
+        auto const kept = spent < earned - burst ? earned - burst : spent;
+        return earned - kept >= cost;
+    }
+
 private:
     /// Parts spent or lost so far.
     std::atomic<std::int64_t> spent_;
--- a/kumquatloom/limits/retry_budget.hpp
+++ b/kumquatloom/limits/retry_budget.hpp
@@ -41,7 +41,13 @@
     /// Takes one retry if the budget has one.
     bool try_take(core::time_point now);
 
+    /// Whether the budget has a retry.
+    bool has_one(core::time_point now) const;
+
 private:
+    /// Parts of retries that were earned so far.
+    std::int64_t earned(core::time_point now) const;
+
     /// Settings.
     retry_budget_settings settings_;
     /// When the credit was zero.
