--- a/kumquatloom/explain/failure_cause.cpp
+++ b/kumquatloom/explain/failure_cause.cpp
@@ -37,6 +37,8 @@
         return "late: an earlier attempt failed";
     case failure_cause::late_upstream:
         return "late: slow upstream";
+    case failure_cause::instance_ended:
+        return "instance ended";
     case failure_cause::unknown:
     case failure_cause::count:
         break;
--- a/kumquatloom/explain/failure_cause.hpp
+++ b/kumquatloom/explain/failure_cause.hpp
@@ -40,6 +40,8 @@
     late_retry,
     /// It was served late by a slow upstream.
     late_upstream,
+    /// The instance that worked on it ended or was killed.
+    instance_ended,
     /// The lines do not show it.
     unknown,
     count
--- a/kumquatloom/explain/request_story.cpp
+++ b/kumquatloom/explain/request_story.cpp
@@ -44,11 +44,25 @@
                    : failure_cause::not_allowed;
     if (auto const* const answer = last_of(answered_event))
         return cause_of_answer(*answer);
+    if (interrupted_)
+        return failure_cause::instance_ended;
     // A routine answer may have been left out; a failed one never is.
     return last_of(ended_event) != nullptr ? failure_cause::none
                                            : failure_cause::unknown;
 }
 
+log_line const* request_story::last() const
+{
+    auto const found =
+        std::max_element(lines_.begin(),
+                         lines_.end(),
+                         [](log_line const& left, log_line const& right)
+                         {
+                             return left.time_ms < right.time_ms;
+                         });
+    return found == lines_.end() ? nullptr : &*found;
+}
+
 std::string request_story::sentence() const
 {
     std::string text(to_string(cause()));
@@ -90,7 +104,8 @@
     if (lines_.empty())
         return "no line names the request: it reached no instance whose log "
                "was given, or its lines were left out";
-    if (last_of(answered_event) == nullptr && last_of(refused_event) == nullptr)
+    if (last_of(answered_event) == nullptr &&
+        last_of(refused_event) == nullptr && !interrupted_)
         return "the line of the answer is missing: the instance ended, or the "
                "request went well and its line was left out";
     return {};
--- a/kumquatloom/explain/request_story.hpp
+++ b/kumquatloom/explain/request_story.hpp
@@ -17,6 +17,15 @@
     /// Adds a line of the request.
     void add(log_line line);
 
+    /// States that the instance started anew after the last line.
+    void interrupt()
+    {
+        interrupted_ = true;
+    }
+
+    /// The last line that was written; null without lines.
+    log_line const* last() const;
+
     /// Whether the request was not served in time: refused, failed or late.
     bool went_wrong() const;
 
@@ -37,6 +46,8 @@
     failure_cause cause_of_answer(log_line const& answer) const;
     failure_cause cause_of_attempt() const;
 
+    /// Whether the instance started anew after the last line.
+    bool interrupted_ = false;
     /// The lines as they were added.
     std::vector<log_line> lines_;
 };
--- a/kumquatloom/explain/story_book.cpp
+++ b/kumquatloom/explain/story_book.cpp
@@ -1,5 +1,6 @@
 #include <kumquatloom/explain/story_book.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace kumquatloom::explain
@@ -12,17 +13,35 @@
     {
         // Most lines of large logs are of other requests.
         if (!only.empty() && text.find(only) == text.npos &&
-            text.find("log_lines_dropped") == text.npos)
+            text.find("log_lines_dropped") == text.npos &&
+            text.find(R"("started")") == text.npos)
             continue;
         auto line = parse_log_line(text);
         if (!line)
             continue;
         if (line->event == "log_lines_dropped")
             dropped_ += static_cast<std::size_t>(line->number("count"));
+        if (line->event == "started")
+        {
+            auto& start = last_starts_[line->instance];
+            start = std::max(start, line->time_ms);
+        }
         auto const id = line->text("request");
         if (!id.empty() && (only.empty() || id == only))
             stories_[id].add(std::move(*line));
     }
+    mark_interrupted();
+}
+
+void story_book::mark_interrupted()
+{
+    for (auto& [id, story] : stories_)
+    {
+        auto const* const last = story.last();
+        auto const start = last_starts_.find(last->instance);
+        if (start != last_starts_.end() && start->second > last->time_ms)
+            story.interrupt();
+    }
 }
 
 request_story const& story_book::story(std::string const& id) const
--- a/kumquatloom/explain/story_book.hpp
+++ b/kumquatloom/explain/story_book.hpp
@@ -6,6 +6,7 @@
 
 #include <array>
 #include <cstddef>
+#include <cstdint>
 #include <istream>
 #include <map>
 #include <string>
@@ -40,6 +41,10 @@
     }
 
 private:
+    void mark_interrupted();
+
+    /// When each instance started, in milliseconds since the epoch.
+    std::map<std::string, std::int64_t> last_starts_;
     /// Stories by request id.
     std::map<std::string, request_story> stories_;
     /// Lines that were dropped.
--- a/unit_tests/explain/request_story_test.cpp
+++ b/unit_tests/explain/request_story_test.cpp
@@ -91,6 +91,18 @@
     CHECK_FALSE(book.story("b2").missing().empty());
 }
 
+TEST_CASE("a request of an instance that was killed is told apart", "[explain]")
+{
+    std::string const restart =
+        R"({"time_ms":99,"event":"started","instance":"front-1"})"
+        "\n";
+    CHECK(cause_of(started("normal") + restart) ==
+          failure_cause::instance_ended);
+    // One that was answered before has its own cause.
+    CHECK(cause_of(started("normal") + ended("answered") + answered(500, "") +
+                   restart) == failure_cause::upstream_error);
+}
+
 TEST_CASE("the ledger counts the causes of all requests", "[explain]")
 {
     std::istringstream input(started("normal") + ended("cut-short") +
--- a/unit_tests/health/sickness_table_test.cpp
+++ b/unit_tests/health/sickness_table_test.cpp
@@ -139,10 +139,12 @@
         third.track(ten_upstreams(), start);
         third.observe_as(2, 10);
         third.record(result(attempt_result::cut_short), start);
-        CHECK_FALSE(decision_of(third, sick, start + 2900ms).trial);
-        CHECK(decision_of(third, sick, start + 3100ms).trial);
-        // The others take their turns before it has the next one.
-        CHECK_FALSE(decision_of(third, sick, start + 3200ms).trial);
+        // Two others have their turns before.
+        auto const turn = 3 * sickness_settings{}.trial_interval;
+        CHECK_FALSE(decision_of(third, sick, start + turn - 100ms).trial);
+        CHECK(decision_of(third, sick, start + turn + 100ms).trial);
+        // And all of them before it has the next one.
+        CHECK_FALSE(decision_of(third, sick, start + turn + 200ms).trial);
     }
 }
 
