Keep one copy of start numbers, addresses and read errors; tests wait for reads

Cause: read by a newcomer, three pieces stood twice: the number of a process start, the conversion of addresses and the read errors of statuses. Three tests of the platform path waited for a time; on a busy machine the verdict could have changed.

Change: core::new_incarnation, entry::to_tcp and log_service::to_read_error serve all; the tests wait for the store's calls.

--- a/kumquatloom/entry/entry_instance.cpp
+++ b/kumquatloom/entry/entry_instance.cpp
@@ -1,6 +1,6 @@
-#include <kumquatloom/core/digest.hpp>
 #include <kumquatloom/core/logging.hpp>
 #include <kumquatloom/core/mutation.hpp>
+#include <kumquatloom/core/new_incarnation.hpp>
 #include <kumquatloom/entry/drain_controller.hpp>
 #include <kumquatloom/entry/entry_instance.hpp>
 #include <kumquatloom/entry/fleet_link.hpp>
@@ -8,6 +8,7 @@
 #include <kumquatloom/entry/list_poller.hpp>
 #include <kumquatloom/entry/operator_server.hpp>
 #include <kumquatloom/entry/service_control.hpp>
+#include <kumquatloom/entry/tcp_address.hpp>
 #include <kumquatloom/entry/upstream_prober.hpp>
 #include <kumquatloom/entry/worker.hpp>
 
@@ -25,28 +26,6 @@
 namespace kumquatloom::entry
 {
 
-namespace
-{
-
-tcp::endpoint to_tcp(settings::endpoint const& address)
-{
-    return {asio::ip::make_address(address.host), address.port};
-}
-
-/// The start time in milliseconds shifted left by 16 bits plus 16 random bits.
-core::incarnation new_incarnation()
-{
-    constexpr unsigned random_bits = 16;
-    auto const since_epoch =
-        std::chrono::duration_cast<std::chrono::milliseconds>(
-            std::chrono::system_clock::now().time_since_epoch());
-    return (static_cast<core::incarnation>(since_epoch.count())
-            << random_bits) |
-           (core::random_u64() & ((1U << random_bits) - 1));
-}
-
-} // namespace
-
 /// Everything that an instance owns.
 class entry_instance::parts
 {
@@ -54,7 +33,7 @@
     parts(settings::instance_settings settings,
           std::chrono::milliseconds grace,
           fleet_mode mode)
-        : state(std::move(settings), new_incarnation())
+        : state(std::move(settings), core::new_incarnation())
         , drain(
               context,
               state,
--- a/kumquatloom/hosting/hosted_instance.cpp
+++ b/kumquatloom/hosting/hosted_instance.cpp
@@ -1,5 +1,5 @@
-#include <kumquatloom/core/digest.hpp>
 #include <kumquatloom/core/logging.hpp>
+#include <kumquatloom/core/new_incarnation.hpp>
 #include <kumquatloom/entry/caller_listener.hpp>
 #include <kumquatloom/entry/drain_controller.hpp>
 #include <kumquatloom/entry/instance_state.hpp>
@@ -8,6 +8,7 @@
 #include <kumquatloom/entry/proxy_handler.hpp>
 #include <kumquatloom/entry/service_control.hpp>
 #include <kumquatloom/entry/system_answer.hpp>
+#include <kumquatloom/entry/tcp_address.hpp>
 #include <kumquatloom/hosting/environment_reader.hpp>
 #include <kumquatloom/hosting/environment_snapshot.hpp>
 #include <kumquatloom/hosting/hosted_instance.hpp>
@@ -32,7 +33,7 @@
 
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
-using entry::tcp;
+using entry::to_tcp;
 
 /// Time between two looks at everything that changes with time.
 constexpr std::chrono::milliseconds tick_interval{25};
@@ -65,23 +66,6 @@
 /// Descriptors for everything but callers' connections.
 constexpr std::size_t reserved_descriptors = 1000;
 
-/// The start time in milliseconds shifted left by 16 bits plus 16 random bits.
-core::incarnation new_incarnation()
-{
-    constexpr unsigned random_bits = 16;
-    auto const since_epoch =
-        std::chrono::duration_cast<std::chrono::milliseconds>(
-            std::chrono::system_clock::now().time_since_epoch());
-    return (static_cast<core::incarnation>(since_epoch.count())
-            << random_bits) |
-           (core::random_u64() & ((1U << random_bits) - 1));
-}
-
-tcp::endpoint to_tcp(settings::endpoint const& address)
-{
-    return {asio::ip::make_address(address.host), address.port};
-}
-
 settings::instance_settings to_instance(hosted_settings const& given)
 {
     settings::instance_settings result;
@@ -132,7 +116,7 @@
         , store(std::move(calls))
         , look(std::move(environment_pages))
         , state(to_instance(settings),
-                new_incarnation(),
+                core::new_incarnation(),
                 dialect,
                 to_policy(settings))
         , control(state)
--- a/kumquatloom/log_service/error.cpp
+++ b/kumquatloom/log_service/error.cpp
@@ -57,6 +57,24 @@
     return "unknown";
 }
 
+read_error to_read_error(unsigned status)
+{
+    constexpr unsigned status_gone = 410;
+    constexpr unsigned status_too_many = 429;
+    constexpr unsigned status_unavailable = 503;
+    switch (status)
+    {
+    case status_gone:
+        return read_error::retention_cut;
+    case status_too_many:
+        return read_error::rate_limited;
+    case status_unavailable:
+        return read_error::outage;
+    default:
+        return read_error::malformed;
+    }
+}
+
 read_error to_read_error(http_error error)
 {
     switch (error)
--- a/kumquatloom/log_service/error.hpp
+++ b/kumquatloom/log_service/error.hpp
@@ -59,6 +59,9 @@
 /// Name of an error for operators and metric labels.
 std::string_view to_string(append_error error);
 
+/// The read error that a status other than 200 amounts to.
+read_error to_read_error(unsigned status);
+
 /// The read error that a lost HTTP exchange amounts to.
 read_error to_read_error(http_error error);
 
--- a/kumquatloom/log_service/instance_list_client.cpp
+++ b/kumquatloom/log_service/instance_list_client.cpp
@@ -21,8 +21,6 @@
 }
 
 constexpr unsigned status_ok = 200;
-constexpr unsigned status_too_many = 429;
-constexpr unsigned status_unavailable = 503;
 
 } // namespace
 
@@ -38,17 +36,8 @@
     auto const response = co_await client_.fetch("/instances");
     if (!response)
         co_return to_read_error(response.error());
-    switch (response.value().status)
-    {
-    case status_ok:
-        break;
-    case status_too_many:
-        co_return read_error::rate_limited;
-    case status_unavailable:
-        co_return read_error::outage;
-    default:
-        co_return read_error::malformed;
-    }
+    if (response.value().status != status_ok)
+        co_return to_read_error(response.value().status);
     auto list = parse_instance_list(response.value().body);
     if (!list)
         co_return read_error::malformed;
--- a/kumquatloom/log_service/log_client.cpp
+++ b/kumquatloom/log_service/log_client.cpp
@@ -32,25 +32,9 @@
 
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_created = 201;
-constexpr unsigned status_gone = 410;
 constexpr unsigned status_too_many = 429;
 constexpr unsigned status_unavailable = 503;
 
-read_error error_of_status(unsigned status)
-{
-    switch (status)
-    {
-    case status_gone:
-        return read_error::retention_cut;
-    case status_too_many:
-        return read_error::rate_limited;
-    case status_unavailable:
-        return read_error::outage;
-    default:
-        return read_error::malformed;
-    }
-}
-
 document::log_entry read_entry(core::json_reader& reader)
 {
     document::log_entry entry;
@@ -151,7 +135,7 @@
     if (!response)
         co_return to_read_error(response.error());
     if (response.value().status != status_ok)
-        co_return error_of_status(response.value().status);
+        co_return to_read_error(response.value().status);
     auto page = parse_log_page(response.value().body, from, max);
     if (!page)
         co_return read_error::malformed;
--- a/unit_tests/platform/platform_fixture.cpp
+++ b/unit_tests/platform/platform_fixture.cpp
@@ -139,6 +139,29 @@
     done.wait();
 }
 
+void platform_fixture::wait_for_reads()
+{
+    // A read has two calls; the second one after this shows that the first
+    // was taken over.
+    constexpr std::uint64_t calls_of_three_reads = 6;
+    auto const calls = [this]
+    {
+        std::uint64_t count = 0;
+        with_store(
+            [&](stand_ins::platform_store_stand_in& store)
+            {
+                count = store.calls();
+            });
+        return count;
+    };
+    auto const before = calls();
+    wait_until(
+        [&]
+        {
+            return calls() >= before + calls_of_three_reads;
+        });
+}
+
 void platform_fixture::start()
 {
     auto const store = std::make_shared<platform::store_client const>(
--- a/unit_tests/platform/platform_fixture.hpp
+++ b/unit_tests/platform/platform_fixture.hpp
@@ -50,6 +50,10 @@
     void with_store(
         std::function<void(stand_ins::platform_store_stand_in&)> const& step);
 
+    /// Waits until the instance has asked the store so often that it knows
+    /// the answer to a read which began after this call.
+    void wait_for_reads();
+
     /// Starts the instance.
     void start();
 
