Accept a neighbour that restarted with its clock set back

Cause: incarnations start with the time of day. After a clock_step backwards and a restart, an instance has a smaller incarnation than its last process, so that its heartbeats were taken for old datagrams until it was forgotten 60 s later: it was not handed out to callers and its load was not counted. Ruled out: a random incarnation (the order of ranks is by age), dropping the order (a reordered datagram would bring back an old state). Change: a smaller incarnation replaces a neighbour that was silent for the time after which it is suspect, 1 s. Figures: the new section of neighbour_table_test failed before (restarted heartbeat refused at 1 s), passes now.

--- a/kumquatloom/membership/neighbour_table.cpp
+++ b/kumquatloom/membership/neighbour_table.cpp
@@ -36,8 +36,13 @@
         return false;
     learn(message.host, now);
     auto& known = neighbours_.at(message.host);
-    if (std::tie(message.incarnation, message.sequence) <=
-        std::tie(known.incarnation, known.sequence))
+    bool const is_older = std::tie(message.incarnation, message.sequence) <=
+                          std::tie(known.incarnation, known.sequence);
+    // Incarnations come from the time of day, which may be set back before a
+    // restart. Old datagrams do not arrive as late as this.
+    bool const is_restart = message.incarnation < known.incarnation &&
+                            now - known.heard >= settings_.suspect_after;
+    if (is_older && !is_restart)
         return false;
     known.incarnation = message.incarnation;
     known.sequence = message.sequence;
--- a/kumquatloom/membership/neighbour_table.hpp
+++ b/kumquatloom/membership/neighbour_table.hpp
@@ -40,7 +40,8 @@
     /// Adds an address at which an instance may be. Returns whether it is new.
     bool learn(std::string const& host, core::time_point now);
 
-    /// Takes over a heartbeat; false if it is older than one that is known.
+    /// Takes over a heartbeat; false if it is older than one that is known. A
+    /// smaller incarnation replaces a neighbour that has fallen silent.
     bool hear(heard_heartbeat const& message, core::time_point now);
 
     /// Forgets what was silent for too long.
--- a/unit_tests/membership/neighbour_table_test.cpp
+++ b/unit_tests/membership/neighbour_table_test.cpp
@@ -58,6 +58,16 @@
         CHECK(table.serving(start).size() == 1);
     }
 
+    SECTION("unless its sender has restarted with its clock set back")
+    {
+        auto const restarted = heartbeat("10.0.0.2", 40, 1);
+        CHECK_FALSE(table.hear(restarted, start + 999ms));
+        CHECK(table.hear(restarted, start + 1s));
+        CHECK(table.serving(start + 1s).size() == 1);
+        // The process before it is gone for good.
+        CHECK(table.hear(heartbeat("10.0.0.2", 40, 2), start + 1250ms));
+    }
+
     SECTION("an address alone is no live neighbour")
     {
         CHECK(table.learn("10.0.0.3", start));
