Keep sums of load and an index of upstreams up to date

Cause: each received heartbeat built the sums of all neighbours' load anew (25 neighbours x 20 a second on the grown sites), and each decision about sickness searched its upstream in a list of up to 358. Ruled out: fewer heartbeats (placing would see older load). Change: load_board adds and subtracts what a message changes; upstream_table has an index by name; the distance is looked up once. The property test compares the sums with their definition.

--- a/kumquatloom/hosting/load_board.cpp
+++ b/kumquatloom/hosting/load_board.cpp
@@ -14,10 +14,10 @@
 /// regions, or three service times.
 constexpr std::chrono::milliseconds report_life{1500};
 
-void add(std::vector<upstream_report> const& reports, load_totals& totals)
+unsigned load_of(load_totals const& totals, std::uint32_t upstream)
 {
-    for (auto const& item : reports)
-        totals[item.upstream] += item.in_flight;
+    auto const found = totals.find(upstream);
+    return found == totals.end() ? 0 : found->second;
 }
 
 } // namespace
@@ -25,14 +25,16 @@
 void load_board::tell(std::string const& host,
                       std::vector<upstream_report> reports)
 {
-    neighbours_[host] = std::move(reports);
+    replace(neighbours_[host], std::move(reports), neighbour_totals_);
 }
 
 void load_board::tell_domain(core::failure_domain const& domain,
                              std::vector<upstream_report> reports,
                              core::time_point now)
 {
-    domains_[domain] = {std::move(reports), now};
+    auto& known = domains_[domain];
+    known.received = now;
+    replace(known.reports, std::move(reports), domain_totals_);
 }
 
 void load_board::keep(std::vector<std::string> const& hosts,
@@ -41,31 +43,64 @@
     std::erase_if(neighbours_,
                   [&](auto const& item)
                   {
-                      return std::find(hosts.begin(),
-                                       hosts.end(),
-                                       item.first) == hosts.end();
+                      bool const gone =
+                          std::find(hosts.begin(), hosts.end(), item.first) ==
+                          hosts.end();
+                      if (gone)
+                          subtract(item.second, neighbour_totals_);
+                      return gone;
                   });
     std::erase_if(domains_,
                   [&](auto const& item)
                   {
-                      return now - item.second.received > report_life;
+                      bool const old = now - item.second.received > report_life;
+                      if (old)
+                          subtract(item.second.reports, domain_totals_);
+                      return old;
                   });
 }
 
-load_totals load_board::neighbours() const
+unsigned load_board::total(std::uint32_t upstream) const
+{
+    return load_of(neighbour_totals_, upstream) +
+           load_of(domain_totals_, upstream);
+}
+
+std::vector<std::uint32_t> load_board::take_changed()
+{
+    return std::exchange(changed_, {});
+}
+
+void load_board::replace(std::vector<upstream_report>& known,
+                         std::vector<upstream_report> next,
+                         load_totals& totals)
 {
-    load_totals totals;
-    for (auto const& [host, reports] : neighbours_)
-        add(reports, totals);
-    return totals;
+    subtract(known, totals);
+    // Evidence alone is no load.
+    std::erase_if(next,
+                  [](upstream_report const& item)
+                  {
+                      return item.in_flight == 0;
+                  });
+    for (auto const& item : next)
+    {
+        totals[item.upstream] += item.in_flight;
+        changed_.push_back(item.upstream);
+    }
+    known = std::move(next);
 }
 
-load_totals load_board::totals() const
+void load_board::subtract(std::vector<upstream_report> const& known,
+                          load_totals& totals)
 {
-    auto totals = neighbours();
-    for (auto const& [domain, load] : domains_)
-        add(load.reports, totals);
-    return totals;
+    for (auto const& item : known)
+    {
+        auto const total = totals.find(item.upstream);
+        total->second -= item.in_flight;
+        if (total->second == 0)
+            totals.erase(total);
+        changed_.push_back(item.upstream);
+    }
 }
 
 } // namespace kumquatloom::hosting
--- a/kumquatloom/hosting/load_board.hpp
+++ b/kumquatloom/hosting/load_board.hpp
@@ -5,21 +5,23 @@
 #include <kumquatloom/core/ids.hpp>
 #include <kumquatloom/hosting/upstream_report.hpp>
 
+#include <boost/unordered/unordered_flat_map.hpp>
+
 #include <cstdint>
 #include <map>
 #include <string>
-#include <unordered_map>
 #include <vector>
 
 namespace kumquatloom::hosting
 {
 
 /// Requests in flight by the hash of the upstream's id.
-using load_totals = std::unordered_map<std::uint32_t, unsigned>;
+using load_totals = boost::unordered_flat_map<std::uint32_t, unsigned>;
 
 /// What other instances have in flight at each upstream: neighbours by their
-/// last messages, other failure domains by their last reports. Belongs to one
-/// thread.
+/// last messages, other failure domains by their last reports. The totals are
+/// kept up to date with each message, because a small instance receives
+/// hundreds of them a second. Belongs to one thread.
 class load_board
 {
 public:
@@ -36,10 +38,18 @@
     void keep(std::vector<std::string> const& hosts, core::time_point now);
 
     /// What the neighbours have in flight.
-    load_totals neighbours() const;
+    load_totals const& neighbours() const
+    {
+        return neighbour_totals_;
+    }
 
-    /// What the neighbours and the other domains have in flight.
-    load_totals totals() const;
+    /// What the neighbours and the other domains have in flight at an
+    /// upstream.
+    unsigned total(std::uint32_t upstream) const;
+
+    /// Upstreams whose totals may have changed since the last call; an
+    /// upstream may be named twice.
+    std::vector<std::uint32_t> take_changed();
 
 private:
     /// What a domain has told.
@@ -51,10 +61,20 @@
         core::time_point received;
     };
 
-    /// Reports by neighbour.
+    void replace(std::vector<upstream_report>& known,
+                 std::vector<upstream_report> next,
+                 load_totals& totals);
+    void subtract(std::vector<upstream_report> const& known,
+                  load_totals& totals);
+
+    /// Reports by neighbour, and their sums.
     std::map<std::string, std::vector<upstream_report>> neighbours_;
-    /// Reports by domain.
+    load_totals neighbour_totals_;
+    /// Reports by domain, and their sums.
     std::map<core::failure_domain, domain_load> domains_;
+    load_totals domain_totals_;
+    /// See take_changed().
+    std::vector<std::uint32_t> changed_;
 };
 
 } // namespace kumquatloom::hosting
--- a/kumquatloom/hosting/neighbourhood.cpp
+++ b/kumquatloom/hosting/neighbourhood.cpp
@@ -83,7 +83,9 @@
     auto const rank = table_.rank(now);
     loads_.keep(live, now);
     board_.observe_as(rank, live.size() + 1);
-    board_.report_neighbours(loads_.totals());
+    // Upstreams that were just listed have no load yet.
+    board_.report_neighbours(loads_);
+    loads_.take_changed();
     if (is_due(now))
         send_now();
     // The first in rank speaks for the domain.
@@ -113,7 +115,7 @@
     auto const now = core::clock::now();
     loads_.tell_domain(report.domain, report.reports, now);
     board_.merge(report.reports, foreign_trust, now);
-    board_.report_neighbours(loads_.totals());
+    board_.report_neighbours(loads_, loads_.take_changed());
     // It came from outside, so that the neighbours do not know it yet.
     if (table_.knows(host))
         return;
@@ -158,7 +160,7 @@
     loads_.tell(host, message.reports);
     relay_.collect(message.reports);
     board_.merge(message.reports, neighbour_trust, now);
-    board_.report_neighbours(loads_.totals());
+    board_.report_neighbours(loads_, loads_.take_changed());
     hooks_.learned(host, message);
 }
 
--- a/kumquatloom/hosting/upstream_board.cpp
+++ b/kumquatloom/hosting/upstream_board.cpp
@@ -1,5 +1,6 @@
 #include <kumquatloom/core/hashing.hpp>
 #include <kumquatloom/core/logging.hpp>
+#include <kumquatloom/hosting/load_board.hpp>
 #include <kumquatloom/hosting/neighbour_message.hpp>
 #include <kumquatloom/hosting/upstream_board.hpp>
 
@@ -21,19 +22,6 @@
 constexpr unsigned max_in_flight = 255;
 constexpr double max_evidence = 100;
 
-/// Whether an upstream is in the failure domain of this instance.
-bool is_near(routing::upstream_table const& table, core::upstream_id const& id)
-{
-    return std::any_of(table.entries().begin(),
-                       table.entries().end(),
-                       [&](routing::upstream_table::entry const& entry)
-                       {
-                           return entry.distance ==
-                                      routing::spill::own_domain &&
-                                  entry.object->endpoint().id == id;
-                       });
-}
-
 } // namespace
 
 std::uint32_t short_hash(core::upstream_id const& id)
@@ -74,6 +62,7 @@
         ids.push_back(id);
         auto& item = upstreams_[short_hash(id)];
         item.object = entry.object;
+        item.is_near = entry.distance == routing::spill::own_domain;
         item.sickness = &known.sickness;
     }
     known.sickness.track(ids, now);
@@ -136,15 +125,18 @@
         decide(now);
 }
 
-void upstream_board::report_neighbours(
-    std::unordered_map<std::uint32_t, unsigned> const& totals)
+void upstream_board::report_neighbours(load_board const& loads)
 {
     for (auto& [hash, item] : upstreams_)
-    {
-        auto const found = totals.find(hash);
-        item.object->report_neighbours(found == totals.end() ? 0
-                                                             : found->second);
-    }
+        item.object->report_neighbours(loads.total(hash));
+}
+
+void upstream_board::report_neighbours(
+    load_board const& loads, std::vector<std::uint32_t> const& changed)
+{
+    for (auto const hash : changed)
+        if (auto const found = upstreams_.find(hash); found != upstreams_.end())
+            found->second.object->report_neighbours(loads.total(hash));
 }
 
 void upstream_board::observe_as(std::size_t place, std::size_t observers)
@@ -164,8 +156,7 @@
         auto decisions = service.sickness.decide(now);
         // Trials cost a request each; the domain of an upstream makes them.
         for (auto& decision : decisions)
-            decision.trial =
-                decision.trial && is_near(*service.table, decision.upstream);
+            decision.trial = decision.trial && is_near(decision.upstream);
         // Nothing here is an ejection, so that none has to be honoured.
         service.table->publish(decisions, now);
         for (auto const& decision : decisions)
@@ -173,6 +164,12 @@
     }
 }
 
+bool upstream_board::is_near(core::upstream_id const& id) const
+{
+    auto const found = upstreams_.find(short_hash(id));
+    return found != upstreams_.end() && found->second.is_near;
+}
+
 std::vector<upstream_report> upstream_board::take_reports()
 {
     std::vector<upstream_report> reports;
--- a/kumquatloom/hosting/upstream_board.hpp
+++ b/kumquatloom/hosting/upstream_board.hpp
@@ -20,6 +20,8 @@
 namespace kumquatloom::hosting
 {
 
+class load_board;
+
 /// What this instance and its neighbours know of all upstreams: load and
 /// sickness, and what is still to be told. Belongs to one thread.
 class upstream_board
@@ -47,9 +49,12 @@
                double trust,
                core::time_point now);
 
-    /// Stores what all neighbours have in flight.
-    void report_neighbours(
-        std::unordered_map<std::uint32_t, unsigned> const& totals);
+    /// Stores what others have in flight at all upstreams.
+    void report_neighbours(load_board const& loads);
+
+    /// The same for those upstreams whose load has changed.
+    void report_neighbours(load_board const& loads,
+                           std::vector<std::uint32_t> const& changed);
 
     /// States the place of this instance among the observers of its domain.
     void observe_as(std::size_t place, std::size_t observers);
@@ -80,6 +85,8 @@
         boost::intrusive_ptr<routing::upstream> object;
         /// Where its sickness is judged.
         health::sickness_table* sickness = nullptr;
+        /// Whether it is in the failure domain of this instance.
+        bool is_near = false;
         /// Load that was told last.
         unsigned told = 0;
         /// Evidence that was not told yet.
@@ -95,6 +102,7 @@
         health::sickness_table sickness;
     };
 
+    bool is_near(core::upstream_id const& id) const;
     void log_standing(health::standing_decision const& decision,
                       core::service_name const& service);
 
--- a/kumquatloom/routing/upstream_table.cpp
+++ b/kumquatloom/routing/upstream_table.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <utility>
 
 namespace kumquatloom::routing
 {
@@ -40,7 +41,7 @@
         bool const departed = previous && previous->has_departed(item.endpoint);
         if (item.leaving || departed)
             object->mark_leaving();
-        table->entries_.push_back({object, distance_of(item.endpoint, here)});
+        table->add(object, distance_of(item.endpoint, here));
     }
     std::stable_sort(table->entries_.begin(),
                      table->entries_.end(),
@@ -56,10 +57,8 @@
 boost::intrusive_ptr<upstream>
 upstream_table::find(core::upstream_id const& id) const
 {
-    for (auto const& item : entries_)
-        if (item.object->endpoint().id == id)
-            return item.object;
-    return nullptr;
+    auto const found = by_id_.find(id);
+    return found == by_id_.end() ? nullptr : found->second;
 }
 
 std::vector<core::upstream_id> upstream_table::live() const
@@ -104,6 +103,12 @@
     return new upstream(item.endpoint, now, item.warm_up.value_or(unstated));
 }
 
+void upstream_table::add(boost::intrusive_ptr<upstream> object, spill distance)
+{
+    by_id_.emplace(object->endpoint().id, object.get());
+    entries_.push_back({std::move(object), distance});
+}
+
 bool upstream_table::has_departed(upstream_endpoint const& endpoint) const
 {
     return std::any_of(departures_.begin(),
--- a/kumquatloom/routing/upstream_table.hpp
+++ b/kumquatloom/routing/upstream_table.hpp
@@ -10,7 +10,9 @@
 
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
+#include <boost/unordered/unordered_flat_map.hpp>
 
+#include <functional>
 #include <vector>
 
 namespace kumquatloom::routing
@@ -82,6 +84,9 @@
                listed_upstream const& item,
                core::time_point now);
 
+    /// Adds an upstream.
+    void add(boost::intrusive_ptr<upstream> object, spill distance);
+
     /// Whether the endpoint left recently.
     bool has_departed(upstream_endpoint const& endpoint) const;
 
@@ -91,6 +96,11 @@
 
     /// All upstreams, the nearest first.
     std::vector<entry> entries_;
+    /// The same objects by name: services have hundreds of upstreams.
+    boost::unordered_flat_map<core::upstream_id,
+                              upstream*,
+                              std::hash<core::upstream_id>>
+        by_id_;
     /// Upstreams that left.
     std::vector<departure> departures_;
 };
