Do not close a session whose request has just been read

Cause: a leaving instance closed sessions that looked idle. Ruled out: the peek before the close; it only sees bytes that were not read. Change: finish() cancels the wait for a request instead of closing the socket. What was read is answered, then the connection ends.

--- a/kumquatloom/entry/caller_session.cpp
+++ b/kumquatloom/entry/caller_session.cpp
@@ -111,15 +111,11 @@
 void caller_session::finish()
 {
     finishing_ = true;
-    if (!idle_)
-        return;
-    // A request that has already arrived is still served.
-    char byte = 0;
-    error_code error;
-    stream_.socket().receive(
-        asio::buffer(&byte, 1), tcp::socket::message_peek, error);
-    if (error)
-        abort();
+    // A request that has arrived is still served, also if the read of its
+    // bytes has ended and the session has not been told yet: then nothing is
+    // left to cancel.
+    if (idle_ && !has_arrived())
+        stream_.cancel();
 }
 
 void caller_session::abort()
@@ -145,6 +141,8 @@
     idle_ = buffer_.size() == 0;
     if (!idle_)
         co_return true;
+    if (finishing_ && !has_arrived())
+        co_return false;
     stream_.expires_after(limits().idle_timeout);
     auto const [error, size] = co_await stream_.async_read_some(
         buffer_.prepare(first_read_size), as_result);
@@ -153,6 +151,12 @@
     co_return !error;
 }
 
+bool caller_session::has_arrived()
+{
+    error_code error;
+    return stream_.socket().available(error) != 0 && !error;
+}
+
 asio::awaitable<bool> caller_session::read_request(parser_type& parser)
 {
     auto const bounds = limits();
--- a/kumquatloom/entry/caller_session.hpp
+++ b/kumquatloom/entry/caller_session.hpp
@@ -52,6 +52,7 @@
 
     asio::awaitable<bool> serve_one();
     asio::awaitable<bool> wait_for_request();
+    bool has_arrived();
     asio::awaitable<bool> read_request(parser_type& parser);
     asio::awaitable<error_code> read_header(parser_type& parser);
     asio::awaitable<bool> allow_body(parser_type& parser);
