Do not take knowledge for fresher on its way between instances

Cause: heartbeats told how old the sender's knowledge was. The time that a heartbeat took was not counted, so that two instances that told each other became fresher with each message. Change: a heartbeat tells the number and age of the sender's own last read, and the earliest estimate of each read counts.

--- a/kumquatloom/hosting/environment.cpp
+++ b/kumquatloom/hosting/environment.cpp
@@ -12,11 +12,10 @@
 namespace
 {
 
-std::chrono::milliseconds age_of(std::optional<core::time_point> as_of,
-                                 core::time_point now)
+/// Age in whole milliseconds, rounded up: knowledge must not look fresher.
+std::chrono::milliseconds age_of(core::time_point as_of, core::time_point now)
 {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(
-        as_of ? now - *as_of : core::duration::zero());
+    return std::chrono::ceil<std::chrono::milliseconds>(now - as_of);
 }
 
 void log_change(routing::upstream_change const& change)
@@ -53,6 +52,8 @@
     if (page.next.upstreams < position_.upstreams ||
         page.next.documents < position_.documents)
         return result;
+    ++own_reads_;
+    own_read_at_ = as_of;
     know(as_of, now);
     if (page.document)
         result.document = adopt(*page.document);
@@ -90,7 +91,7 @@
     if (message.position.documents < position_.documents ||
         message.position.upstreams < position_.upstreams)
         return result;
-    know(now - message.age, now);
+    know_read_of(message, now);
     if (newer)
     {
         result.listing =
@@ -101,6 +102,7 @@
 }
 
 environment::change environment::apply(environment_snapshot const& snapshot,
+                                       core::time_point told,
                                        core::time_point now)
 {
     change result;
@@ -108,7 +110,7 @@
         (as_of_ && (snapshot.position.documents < position_.documents ||
                     snapshot.position.upstreams < position_.upstreams)))
         return result;
-    know(now - snapshot.age, now);
+    know(told - snapshot.age, now);
     result.document = adopt(snapshot.document);
     result.listing = registry_.replace(snapshot.upstreams, now);
     position_ = snapshot.position;
@@ -130,7 +132,10 @@
 {
     message.knows = as_of_.has_value() && document_;
     message.position = position_;
-    message.age = age_of(as_of_, now);
+    message.own_reads = own_reads_;
+    message.own_read_age = std::chrono::milliseconds::zero();
+    if (own_reads_ != 0)
+        message.own_read_age = age_of(own_read_at_, now);
     message.changes_from = {position_.documents, recent_from_};
     message.changes.clear();
     for (auto const& item : recent_)
@@ -143,7 +148,8 @@
     result.document = text_;
     result.upstreams = registry_.listing();
     result.position = position_;
-    result.age = age_of(as_of_, now);
+    if (as_of_)
+        result.age = age_of(*as_of_, now);
     return result;
 }
 
@@ -198,6 +204,17 @@
     as_of_ = as_of;
 }
 
+void environment::know_read_of(neighbour_message const& message,
+                               core::time_point now)
+{
+    if (message.own_reads == 0)
+        return;
+    know(heard_reads_.hear(message.incarnation,
+                           message.own_reads,
+                           now - message.own_read_age),
+         now);
+}
+
 void environment::remember(routing::upstream_change const& item,
                            core::log_offset up_to)
 {
--- a/kumquatloom/hosting/environment.hpp
+++ b/kumquatloom/hosting/environment.hpp
@@ -6,11 +6,13 @@
 #include <kumquatloom/document/document.hpp>
 #include <kumquatloom/hosting/environment_page.hpp>
 #include <kumquatloom/hosting/environment_position.hpp>
+#include <kumquatloom/membership/heard_reads.hpp>
 #include <kumquatloom/routing/upstream_change.hpp>
 #include <kumquatloom/routing/upstream_registry.hpp>
 
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 
+#include <cstdint>
 #include <deque>
 #include <optional>
 #include <string>
@@ -45,7 +47,8 @@
     /// Starts without any knowledge.
     explicit environment(parser parse);
 
-    /// Takes over what a read of the store has brought that began at `as_of`.
+    /// Takes over what an own read of the store has brought that began at
+    /// `as_of`.
     change apply(environment_page const& page,
                  core::time_point as_of,
                  core::time_point now);
@@ -55,8 +58,11 @@
     std::optional<change> apply(neighbour_message const& message,
                                 core::time_point now);
 
-    /// Takes over everything that a neighbour knows, unless that is older.
-    change apply(environment_snapshot const& snapshot, core::time_point now);
+    /// Takes over everything that a neighbour knew at `told` or later, unless
+    /// that is older.
+    change apply(environment_snapshot const& snapshot,
+                 core::time_point told,
+                 core::time_point now);
 
     /// Moves on with time.
     change expire(core::time_point now);
@@ -106,6 +112,7 @@
                        core::log_offset up_to,
                        core::time_point now);
     void know(core::time_point as_of, core::time_point now);
+    void know_read_of(neighbour_message const& message, core::time_point now);
     void remember(routing::upstream_change const& item, core::log_offset up_to);
     void forget_changes();
 
@@ -119,6 +126,11 @@
     /// Up to where the store was read, and when.
     environment_position position_;
     std::optional<core::time_point> as_of_;
+    /// Reads of this instance, and when the last one began.
+    std::uint32_t own_reads_ = 0;
+    core::time_point own_read_at_;
+    /// Reads of the neighbours.
+    membership::heard_reads heard_reads_;
     /// The last changes, the oldest first, and the offset from which they are
     /// all there.
     std::deque<recent_change> recent_;
--- a/kumquatloom/hosting/environment_reader.cpp
+++ b/kumquatloom/hosting/environment_reader.cpp
@@ -108,7 +108,18 @@
     report(true, {});
     schedule_.succeeded(now);
     history_lost_ = false;
-    auto const change = view_.apply(result.value(), began, now);
+    auto const& page = result.value();
+    core::log_info(
+        "store_read",
+        {{"whole", page.is_whole},
+         {"documents", page.next.documents},
+         {"upstreams", page.next.upstreams},
+         {"changes", page.upstreams.size()},
+         {"has_document", page.document.has_value()},
+         {"took_ms",
+          std::chrono::duration_cast<std::chrono::milliseconds>(now - began)
+              .count()}});
+    auto const change = view_.apply(page, began, now);
     schedule_.know(began);
     update(change);
 }
@@ -120,6 +131,7 @@
     bounds.max_body_bytes = max_snapshot_bytes;
     log_service::http_client const client(neighbour, bounds);
     std::string const path(snapshot_path);
+    auto const asked = core::clock::now();
     auto const response = co_await client.fetch(path);
     fetching_ = false;
     if (!response || response.value().status != status_ok)
@@ -134,7 +146,7 @@
                           {{"neighbour", neighbour.host}});
         co_return;
     }
-    auto const change = view_.apply(*snapshot, core::clock::now());
+    auto const change = view_.apply(*snapshot, asked, core::clock::now());
     // A snapshot follows the store's history as well as a whole read.
     if (view_.as_of())
     {
--- a/kumquatloom/hosting/neighbour_message.hpp
+++ b/kumquatloom/hosting/neighbour_message.hpp
@@ -21,7 +21,7 @@
 /// Most changes of the list in one heartbeat. Who misses more fetches all.
 inline constexpr std::size_t max_changes = 4;
 /// First byte of every message; another value is another version.
-inline constexpr std::uint8_t message_version = 1;
+inline constexpr std::uint8_t message_version = 2;
 
 /// Sent to every instance of the failure domain at short intervals.
 struct neighbour_message
@@ -42,9 +42,12 @@
     bool asks = false;
     /// Whether it knows its environment at all.
     bool knows = false;
-    /// Up to where the sender knows the store, and how long ago it was read.
+    /// Up to where the sender knows the store.
     environment_position position;
-    std::chrono::milliseconds age{0};
+    /// Number of the sender's own reads of the store, and how long ago the
+    /// last one began.
+    std::uint32_t own_reads = 0;
+    std::chrono::milliseconds own_read_age{0};
     /// Who knows the store up to here needs only `changes`.
     environment_position changes_from;
     std::vector<routing::upstream_change> changes;
@@ -63,10 +66,10 @@
         peer::wire_flag is_leaving(leaving);
         peer::wire_flag does_ask(asks);
         peer::wire_flag does_know(knows);
-        peer::wire_milliseconds wire_age(age);
+        peer::wire_milliseconds wire_age(own_read_age);
         archive(name, incarnation, sequence);
         archive(is_ready, is_leaving, does_ask, does_know);
-        archive(position, wire_age, changes_from);
+        archive(position, own_reads, wire_age, changes_from);
         auto list = peer::bounded<max_changes>(changes);
         auto told = peer::bounded<max_reports>(reports);
         archive(list, told);
--- a/unit_tests/hosting/environment_test.cpp
+++ b/unit_tests/hosting/environment_test.cpp
@@ -6,6 +6,7 @@
 
 #include <charconv>
 #include <chrono>
+#include <cstdint>
 
 namespace
 {
@@ -54,6 +55,7 @@
 neighbour_message message_of(environment const& view, core::time_point now)
 {
     neighbour_message message;
+    message.incarnation = reinterpret_cast<std::uintptr_t>(&view);
     view.describe(message, now);
     auto const received = decode<neighbour_message>(encode(message));
     REQUIRE(received);
@@ -87,7 +89,7 @@
     {
         environment old(parse);
         old.apply(page("3", {}, {9, 9}), start, start);
-        CHECK_FALSE(view.apply(old.snapshot(start), start).document);
+        CHECK_FALSE(view.apply(old.snapshot(start), start, start).document);
         CHECK(view.document()->version == 5);
     }
 }
@@ -106,7 +108,7 @@
         auto copy = sent;
         auto const received = decode<environment_snapshot>(encode(copy));
         REQUIRE(received);
-        auto const change = follower.apply(*received, start);
+        auto const change = follower.apply(*received, start, start);
         CHECK(change.document);
         CHECK(change.listing);
         CHECK(follower.position() == reader.position());
@@ -162,6 +164,61 @@
     }
 }
 
+// Guards against a failure domain whose instances keep telling each other that
+// they are up to date, each time a little more so, while nobody reads.
+TEST_CASE("knowledge does not become fresher on its way", "[hosting]")
+{
+    constexpr auto delay = 20ms;
+    environment reader(parse);
+    environment first(parse);
+    environment second(parse);
+    reader.apply(page("1", {listed("a")}, {1, 10}), start, start);
+    for (auto* const view : {&first, &second})
+        view->apply(reader.snapshot(start), start, start);
+
+    SECTION("by heartbeats between instances that do not read")
+    {
+        for (auto now = start; now < start + 5s; now += delay)
+        {
+            auto const to_second = message_of(first, now);
+            auto const to_first = message_of(second, now);
+            auto const from_reader = message_of(reader, now);
+            REQUIRE(first.apply(to_first, now + delay));
+            REQUIRE(second.apply(to_second, now + delay));
+            REQUIRE(first.apply(from_reader, now + delay));
+        }
+        CHECK(*first.as_of() <= start + delay);
+        CHECK(*second.as_of() <= start + delay);
+    }
+
+    SECTION("not even if a heartbeat about an old read is delayed")
+    {
+        auto const late = message_of(reader, start + 100ms);
+        REQUIRE(first.apply(message_of(reader, start + 100ms), start + 101ms));
+        REQUIRE(first.apply(late, start + 3s));
+        CHECK(*first.as_of() <= start + 1ms);
+    }
+
+    SECTION("nor if two instances read in turn")
+    {
+        auto read_at = start;
+        for (auto now = start; now < start + 5s; now += delay)
+        {
+            if (now - read_at >= 700ms)
+            {
+                second.apply(page({}, {}, {1, 10}), now, now);
+                read_at = now;
+            }
+            auto const to_first = message_of(second, now);
+            auto const to_second = message_of(first, now);
+            REQUIRE(first.apply(to_first, now + delay));
+            REQUIRE(second.apply(to_second, now + delay));
+            CHECK(*first.as_of() <= read_at + delay);
+            CHECK(*second.as_of() <= read_at + delay);
+        }
+    }
+}
+
 // Guards against malformed datagrams that are taken for messages.
 TEST_CASE("only whole messages of the known version are read", "[hosting]")
 {
@@ -175,6 +232,6 @@
     CHECK(read->reports.at(0).evidence == -12);
     CHECK_FALSE(decode<neighbour_message>(bytes.substr(0, bytes.size() - 1)));
     CHECK_FALSE(decode<neighbour_message>("noise"));
-    message.version = 2;
+    message.version = 1;
     CHECK(encode(message).empty());
 }
