Let any observer try an avoided upstream when a trial is due

Cause: trials of an avoided upstream belonged to one observer of the failure domain at a time. Ruled out: the budget of avoidance (60 % was not used up). Change: a trial is due for everybody, with 15 ms between the turns of two observers; any result, also a neighbour's, puts it off; none is made while one is known to be running. The first one comes 100 ms after the first bad result, so that a single broken answer costs little capacity; after a success the next follows at once. The old section 'its first trial waits for the turn of the observer' said that an observer waits for all turns before it; it is replaced by four that say when each observer's turn is, what puts it off, and the 2 s bound of the platform.

--- a/kumquatloom/health/sickness_settings.hpp
+++ b/kumquatloom/health/sickness_settings.hpp
@@ -46,9 +46,16 @@
     double unreachable = 8;
     /// Multiple of the usual latency above which a success is late.
     double late_factor = 4;
-    /// Time between two trial requests to an avoided upstream, from all
-    /// observers together.
-    std::chrono::milliseconds trial_interval{1500};
+    /// Time from the first bad result to the first trial request: a single
+    /// broken answer of a healthy upstream should not cost its capacity for
+    /// longer than it takes to find out.
+    std::chrono::milliseconds first_trial{100};
+    /// Time between two trials, from all observers together, after one that
+    /// failed. The platform expects work at every sound upstream within 2 s.
+    std::chrono::milliseconds trial_interval{1400};
+    /// Time between the turns of two observers to make the same trial: the way
+    /// of a heartbeat, so that mostly one of them makes it.
+    std::chrono::milliseconds trial_turn{15};
 
     /// The weight of a result; `is_late` only matters for a success.
     double weight(attempt_result result, bool is_late) const;
--- a/kumquatloom/health/sickness_table.cpp
+++ b/kumquatloom/health/sickness_table.cpp
@@ -87,8 +87,6 @@
             log_odds > settings_.avoid_above && avoided_ < budget();
         avoided_ += avoid ? 1 : 0;
         bool const trial = avoid && now >= item.next_trial;
-        if (trial)
-            item.next_trial = now + settings_.trial_interval * observers_;
         decisions.push_back(
             {*id,
              avoid ? upstream_standing::avoided : upstream_standing::normal,
@@ -104,9 +102,10 @@
 {
     bool const was_well = item.estimate.log_odds(now) <= settings_.avoid_above;
     item.estimate.add(weight, now);
-    // The observers take turns from the beginning of the spell on.
-    if (weight > 0 && was_well)
-        item.next_trial = now + settings_.trial_interval * (place_ + 1);
+    auto wait = core::duration::zero();
+    if (weight > 0)
+        wait = was_well ? settings_.first_trial : settings_.trial_interval;
+    item.next_trial = now + wait + settings_.trial_turn * place_;
 }
 
 std::size_t sickness_table::budget() const
--- a/kumquatloom/health/sickness_table.hpp
+++ b/kumquatloom/health/sickness_table.hpp
@@ -38,12 +38,11 @@
                double weight,
                core::time_point now);
 
-    /// States how many observers share the trials, and the place of this one
-    /// among them.
-    void observe_as(std::size_t place, std::size_t observers)
+    /// States the place of this instance among the observers that share the
+    /// trials.
+    void observe_as(std::size_t place)
     {
         place_ = static_cast<int>(place);
-        observers_ = static_cast<int>(observers);
     }
 
     /// How each watched upstream is to be treated from now on.
@@ -61,7 +60,8 @@
     {
         /// The belief.
         sickness_estimate estimate;
-        /// When it may get another trial request from this observer.
+        /// When it may get another trial request from this observer. Each
+        /// result, also a neighbour's, puts it off.
         core::time_point next_trial;
     };
 
@@ -78,7 +78,6 @@
     double usual_latency_ = 0;
     /// See observe_as().
     int place_ = 0;
-    int observers_ = 1;
     /// Upstreams avoided by the last decision.
     std::size_t avoided_ = 0;
 };
--- a/kumquatloom/hosting/neighbourhood.cpp
+++ b/kumquatloom/hosting/neighbourhood.cpp
@@ -82,7 +82,7 @@
         live.push_back(item.host);
     auto const rank = table_.rank(now);
     loads_.keep(live, now);
-    board_.observe_as(rank, live.size() + 1);
+    board_.observe_as(rank);
     // Upstreams that were just listed have no load yet.
     board_.report_neighbours(loads_);
     loads_.take_changed();
--- a/kumquatloom/hosting/upstream_board.cpp
+++ b/kumquatloom/hosting/upstream_board.cpp
@@ -66,7 +66,7 @@
         item.sickness = &known.sickness;
     }
     known.sickness.track(ids, now);
-    known.sickness.observe_as(place_, observers_);
+    known.sickness.observe_as(place_);
     known.table = std::move(table);
 }
 
@@ -139,12 +139,11 @@
             found->second.object->report_neighbours(loads.total(hash));
 }
 
-void upstream_board::observe_as(std::size_t place, std::size_t observers)
+void upstream_board::observe_as(std::size_t place)
 {
     place_ = place;
-    observers_ = observers;
     for (auto& [name, service] : services_)
-        service.sickness.observe_as(place, observers);
+        service.sickness.observe_as(place);
 }
 
 void upstream_board::decide(core::time_point now)
@@ -159,6 +158,10 @@
             decision.trial = decision.trial && is_near(decision.upstream);
         // Nothing here is an ejection, so that none has to be honoured.
         service.table->publish(decisions, now);
+        // A neighbour may have made a trial that is asked for here.
+        for (auto const& decision : decisions)
+            if (!decision.trial)
+                service.table->find(decision.upstream)->withdraw_trial();
         for (auto const& decision : decisions)
             log_standing(decision, name);
     }
--- a/kumquatloom/hosting/upstream_board.hpp
+++ b/kumquatloom/hosting/upstream_board.hpp
@@ -57,7 +57,7 @@
                            std::vector<std::uint32_t> const& changed);
 
     /// States the place of this instance among the observers of its domain.
-    void observe_as(std::size_t place, std::size_t observers);
+    void observe_as(std::size_t place);
 
     /// Decides how each upstream is to be treated.
     void decide(core::time_point now);
@@ -110,7 +110,6 @@
     double floor_;
     /// See observe_as().
     std::size_t place_ = 0;
-    std::size_t observers_ = 1;
     /// Services by name.
     std::map<core::service_name, known_service> services_;
     /// Upstreams by the hash of their id.
--- a/kumquatloom/routing/upstream.hpp
+++ b/kumquatloom/routing/upstream.hpp
@@ -116,16 +116,22 @@
                trial_.exchange(false, std::memory_order_relaxed);
     }
 
+    /// No longer asks for a trial request.
+    void withdraw_trial()
+    {
+        trial_.store(false, std::memory_order_relaxed);
+    }
+
     /// Whether it is so surely sick that it is no reserve of capacity.
     bool is_hopeless() const
     {
         return hopeless_.load(std::memory_order_relaxed);
     }
 
-    /// Whether a trial request is asked for.
+    /// Whether a trial request is asked for and none is known to be running.
     bool wants_trial() const
     {
-        return trial_.load(std::memory_order_relaxed);
+        return trial_.load(std::memory_order_relaxed) && known_in_flight() == 0;
     }
 
     /// Whether it has a free slot in this instance's view: neither the own
--- a/unit_tests/health/sickness_table_test.cpp
+++ b/unit_tests/health/sickness_table_test.cpp
@@ -133,18 +133,50 @@
         CHECK_FALSE(is_avoided(table, sick, start + 15s));
     }
 
-    SECTION("and its first trial waits for the turn of the observer")
+    SECTION("whose trials the observers make in turn")
     {
+        sickness_settings const settings;
         sickness_table third({}, 0.4);
         third.track(ten_upstreams(), start);
-        third.observe_as(2, 10);
+        third.observe_as(2);
         third.record(result(attempt_result::cut_short), start);
-        // Two others have their turns before.
-        auto const turn = 3 * sickness_settings{}.trial_interval;
-        CHECK_FALSE(decision_of(third, sick, start + turn - 100ms).trial);
-        CHECK(decision_of(third, sick, start + turn + 100ms).trial);
-        // And all of them before it has the next one.
-        CHECK_FALSE(decision_of(third, sick, start + turn + 200ms).trial);
+        auto const turn =
+            start + settings.first_trial + 2 * settings.trial_turn;
+        CHECK_FALSE(decision_of(third, sick, turn - 1ms).trial);
+        CHECK(decision_of(third, sick, turn).trial);
+
+        SECTION("a failed one puts off the next, whoever made it")
+        {
+            third.merge(sick, settings.broken, turn);
+            auto const next =
+                turn + settings.trial_interval + 2 * settings.trial_turn;
+            CHECK_FALSE(decision_of(third, sick, next - 1ms).trial);
+            CHECK(decision_of(third, sick, next).trial);
+        }
+
+        SECTION("one that went well is followed by another at once")
+        {
+            third.merge(sick, settings.success, turn);
+            auto const next = turn + 2 * settings.trial_turn;
+            CHECK(decision_of(third, sick, next).trial);
+        }
+
+        SECTION("one that nobody made is still asked for")
+        {
+            CHECK(decision_of(third, sick, turn + 1s).trial);
+        }
+    }
+
+    SECTION("and never waits longer for a trial than the platform allows")
+    {
+        // The last of the observers of a large failure domain.
+        constexpr std::size_t observers = 32;
+        sickness_table last({}, 0.4);
+        last.track(ten_upstreams(), start);
+        last.observe_as(observers - 1);
+        last.record(result(attempt_result::cut_short), start);
+        last.record(result(attempt_result::cut_short), start + 100ms);
+        CHECK(decision_of(last, sick, start + 100ms + 2s).trial);
     }
 }
 
