Send nothing more to an upstream that another one has replaced

Cause: after 421 the picker went on choosing the upstream that the list still named, up to the three heartbeats until its entry lapses. Ruled out: counting 421 as evidence of sickness, which fades while the entry stays. Change: after 421 the upstream is treated as leaving, until the list names another start of it. upstream_replaced logs it.

--- a/kumquatloom/entry/request_journal.hpp
+++ b/kumquatloom/entry/request_journal.hpp
@@ -44,6 +44,10 @@
                        routing::pick const& chosen,
                        exchange_result const& result) const;
 
+    /// Another upstream has answered at the address of the chosen one, which
+    /// gets nothing more.
+    void upstream_replaced(routing::pick const& chosen) const;
+
     /// The request was answered by an upstream (without a reason) or by this
     /// system.
     void answered(unsigned status,
--- a/kumquatloom/entry/request_run.cpp
+++ b/kumquatloom/entry/request_run.cpp
@@ -307,7 +307,13 @@
     auto const notice = read_upstream_notice(item.result.answer);
     if (notice.in_flight)
         item.chosen.object->report_load(*notice.in_flight, core::clock::now());
-    if (notice.leaving)
+    // Another upstream has taken over the address.
+    bool const replaced =
+        item.result.end == exchange_end::refused &&
+        item.result.answer.result() == http::status::misdirected_request;
+    if (replaced)
+        journal_.upstream_replaced(item.chosen);
+    if (notice.leaving || replaced)
         item.chosen.object->mark_leaving();
 }
 
--- a/unit_tests/platform/platform_path_test.cpp
+++ b/unit_tests/platform/platform_path_test.cpp
@@ -2,6 +2,7 @@
 
 #include <atomic>
 #include <string>
+#include <thread>
 #include <unit_tests/platform/platform_fixture.hpp>
 
 namespace
@@ -245,6 +246,25 @@
         CHECK(fixture.ask(unsafe_order)->result_int() == 200);
     }
 
+    SECTION("which gets nothing more under the old name")
+    {
+        auto& moved = fixture.add_upstream(
+            [](received_request const& request)
+            {
+                return raw_reply{platform_answer(
+                    request, "", {}, "421 Misdirected Request")};
+            });
+        fixture.add_upstream(whole);
+        fixture.start_ready();
+        for (int i = 0; i < 10; ++i)
+        {
+            CHECK(fixture.ask(unsafe_order)->result_int() == 200);
+            // A refusal is taken for full slots for 200 ms at the most.
+            std::this_thread::sleep_for(std::chrono::milliseconds(210));
+        }
+        CHECK(moved.executions() <= 1);
+    }
+
     SECTION("a client is told so, and when to come back")
     {
         fixture.add_upstream(refusing);
