Add a fault soak that runs the real program in many processes

The users ask for a randomized soak that injects faults from outside and checks their promises while it runs.

--- /dev/null
+++ b/soak/fault_injector.cpp
@@ -0,0 +1,256 @@
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <csignal>
+#include <soak/fault_injector.hpp>
+#include <soak/soak_instance.hpp>
+#include <soak/soak_platform.hpp>
+
+namespace kumquatloom::soak
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+using namespace std::chrono_literals;
+using stand_ins::store_behaviour;
+
+constexpr auto as_result = asio::as_tuple(asio::use_awaitable);
+
+/// Bounds of the delay of a slow link: below and above the time that a caller
+/// gives a connection.
+constexpr auto least_delay = 20ms;
+constexpr auto most_delay = 700ms;
+/// Pause between two instances of a roll, and two changes of a storm.
+constexpr auto roll_pause = 400ms;
+constexpr auto storm_pause = 150ms;
+/// Part of the requests that a sick upstream fails.
+constexpr double sick_share = 0.6;
+/// One upstream in so many is sick when many are.
+constexpr std::size_t sick_one_in = 3;
+
+} // namespace
+
+fault_injector::fault_injector(
+    asio::io_context& context,
+    soak_platform& platform,
+    std::vector<std::unique_ptr<soak_instance>>& instances)
+    : context_(context)
+    , platform_(platform)
+    , instances_(instances)
+{
+}
+
+asio::awaitable<void> fault_injector::play(planned_fault fault)
+{
+    random_source random(fault.draw);
+    switch (fault.kind)
+    {
+    case fault_kind::caller_link:
+    case fault_kind::store_link:
+    case fault_kind::upstream_link:
+        co_await harm_link(pick_link(fault.kind, random), fault, random);
+        break;
+    case fault_kind::store_down:
+        co_await harm_store(store_behaviour::down, fault);
+        break;
+    case fault_kind::store_refusing:
+        co_await harm_store(store_behaviour::refusing, fault);
+        break;
+    case fault_kind::store_silent:
+        co_await harm_store(store_behaviour::silent, fault);
+        break;
+    case fault_kind::store_slow:
+        co_await harm_store(store_behaviour::slow, fault);
+        break;
+    case fault_kind::store_losing:
+        co_await harm_store(store_behaviour::losing, fault);
+        break;
+    case fault_kind::store_forgets:
+        platform_.store_forgets();
+        break;
+    case fault_kind::store_lapse:
+        co_await harm_store(store_behaviour::down, fault);
+        platform_.entries_lapse();
+        break;
+    case fault_kind::move_route:
+    case fault_kind::add_route:
+    case fault_kind::remove_route:
+    case fault_kind::configuration_storm:
+        co_await change_routes(fault, random);
+        break;
+    case fault_kind::upstream_sick:
+    case fault_kind::upstreams_sick:
+    case fault_kind::upstream_crash:
+    case fault_kind::upstream_leave:
+    case fault_kind::upstream_reuse:
+        co_await harm_upstreams(fault, random);
+        break;
+    case fault_kind::pause_instance:
+    case fault_kind::pause_then_leave:
+        co_await pause_instance(fault, random);
+        break;
+    default:
+        co_await signal_instances(fault, random);
+        break;
+    }
+}
+
+asio::awaitable<void> fault_injector::signal_instances(planned_fault fault,
+                                                       random_source& random)
+{
+    auto& process = instances_.at(random.below(instances_.size()))->process();
+    switch (fault.kind)
+    {
+    case fault_kind::leave_instance:
+        process.signal(SIGTERM);
+        break;
+    case fault_kind::kill_instance:
+        process.signal(SIGKILL);
+        break;
+    case fault_kind::reload_instance:
+        process.signal(SIGHUP);
+        break;
+    case fault_kind::leave_then_kill:
+        process.signal(SIGTERM);
+        co_await pause(fault.lasts);
+        process.signal(SIGKILL);
+        break;
+    case fault_kind::roll_instances:
+        for (auto const& instance : instances_)
+        {
+            instance->process().signal(SIGTERM);
+            co_await pause(roll_pause);
+        }
+        break;
+    default:
+        for (auto const& instance : instances_)
+            instance->process().signal(SIGKILL);
+        break;
+    }
+}
+
+asio::awaitable<void> fault_injector::pause_instance(planned_fault fault,
+                                                     random_source& random)
+{
+    auto& process = instances_.at(random.below(instances_.size()))->process();
+    process.signal(SIGSTOP);
+    co_await pause(fault.lasts / 2);
+    // The signal waits until the process goes on.
+    if (fault.kind == fault_kind::pause_then_leave)
+        process.signal(SIGTERM);
+    co_await pause(fault.lasts / 2);
+    process.signal(SIGCONT);
+}
+
+asio::awaitable<void> fault_injector::harm_link(loopback_proxy& link,
+                                                planned_fault fault,
+                                                random_source& random)
+{
+    link_fault harm;
+    switch (random.below(7))
+    {
+    case 0:
+        harm.delay = random.between(least_delay, most_delay);
+        break;
+    case 1:
+        harm.holds_to_server = true;
+        break;
+    case 2:
+        harm.holds_to_client = true;
+        break;
+    case 3:
+        harm.holds_to_server = harm.holds_to_client = true;
+        break;
+    case 4:
+        harm.refuses = true;
+        link.reset_connections();
+        break;
+    case 5:
+        link.reset_connections();
+        co_return;
+    default:
+        link.silence_connections();
+        co_return;
+    }
+    link.behave(harm);
+    co_await pause(fault.lasts);
+    link.behave({});
+}
+
+asio::awaitable<void> fault_injector::harm_store(store_behaviour next,
+                                                 planned_fault fault)
+{
+    platform_.store_behaves(next);
+    co_await pause(fault.lasts);
+    platform_.store_behaves(store_behaviour::normal);
+}
+
+asio::awaitable<void> fault_injector::harm_upstreams(planned_fault fault,
+                                                     random_source& random)
+{
+    auto& places = platform_.upstreams();
+    auto const place = random.below(places.size());
+    auto const draw = random.fork();
+    if (fault.kind == fault_kind::upstream_crash)
+        co_return co_await platform_.crash(place, draw);
+    if (fault.kind == fault_kind::upstream_leave)
+        co_return co_await platform_.leave(place, draw);
+    if (fault.kind == fault_kind::upstream_reuse)
+        co_return co_await platform_.swap_addresses(draw);
+    auto const kind = static_cast<sickness>(
+        1 + random.below(static_cast<std::size_t>(sickness::count) - 1));
+    auto const is_sick = [&](std::size_t i)
+    {
+        return i == place || (fault.kind == fault_kind::upstreams_sick &&
+                              i % sick_one_in == place % sick_one_in);
+    };
+    for (std::size_t i = 0; i < places.size(); ++i)
+        if (is_sick(i))
+            places.at(i).upstream->fall_sick(kind, sick_share);
+    co_await pause(fault.lasts);
+    for (std::size_t i = 0; i < places.size(); ++i)
+        if (is_sick(i))
+            places.at(i).upstream->fall_sick(sickness::none, 0);
+}
+
+asio::awaitable<void> fault_injector::change_routes(planned_fault fault,
+                                                    random_source& random)
+{
+    constexpr std::size_t storm_changes = 6;
+    bool const is_storm = fault.kind == fault_kind::configuration_storm;
+    for (std::size_t i = 0; i < (is_storm ? storm_changes : 1); ++i)
+    {
+        auto const variant = is_storm ? random.below(3) : 3;
+        if (fault.kind == fault_kind::move_route || variant == 0)
+            platform_.move_route(random);
+        else if (fault.kind == fault_kind::add_route || variant == 1)
+            platform_.add_route(random);
+        else
+            platform_.remove_route(random);
+        co_await pause(storm_pause);
+    }
+}
+
+loopback_proxy& fault_injector::pick_link(fault_kind kind,
+                                          random_source& random)
+{
+    if (kind == fault_kind::upstream_link)
+    {
+        auto& places = platform_.upstreams();
+        return *places.at(random.below(places.size())).link;
+    }
+    auto& instance = *instances_.at(random.below(instances_.size()));
+    return kind == fault_kind::caller_link ? instance.callers()
+                                           : instance.store();
+}
+
+asio::awaitable<void> fault_injector::pause(std::chrono::milliseconds time)
+{
+    asio::steady_timer timer(context_, time);
+    co_await timer.async_wait(as_result);
+}
+
+} // namespace kumquatloom::soak
--- /dev/null
+++ b/soak/soak_caller.cpp
@@ -0,0 +1,275 @@
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/value.hpp>
+
+#include <algorithm>
+#include <iterator>
+#include <soak/soak_caller.hpp>
+#include <soak/soak_instance.hpp>
+#include <soak/soak_platform.hpp>
+#include <stand_ins/http_caller.hpp>
+#include <utility>
+
+namespace kumquatloom::soak
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using asio::ip::tcp;
+using boost::system::error_code;
+using namespace std::chrono_literals;
+using stand_ins::http_request;
+using stand_ins::http_response;
+
+constexpr auto as_result = asio::as_tuple(asio::use_awaitable);
+
+/// Times of the platform's clients: for a connection or a directory's answer,
+/// and for which such an answer counts.
+constexpr auto connect_time = 1000ms;
+constexpr auto keep_directory = 1500ms;
+constexpr unsigned directory_tries = 3;
+/// Bounds of the pause between two requests, and of what a caller waits.
+constexpr auto longest_pause = 120ms;
+constexpr auto shortest_wait = 1000ms;
+constexpr auto longest_wait = 4000ms;
+/// Longest time of a route, and the time after which an answer is late.
+constexpr auto route_time = 3000ms;
+constexpr auto answer_tolerance = 500ms;
+/// Most requests on one connection, and most bytes of a body.
+constexpr std::size_t most_requests = 30;
+constexpr std::size_t most_bytes = 600;
+/// Part of the requests whose caller does not wait for the answer, and of
+/// those whose body comes in chunks.
+constexpr double leaving_share = 0.03;
+constexpr double chunked_share = 0.2;
+constexpr unsigned status_success = 200;
+
+std::string_view as_view(beast::string_view text)
+{
+    return {text.data(), text.size()};
+}
+
+} // namespace
+
+soak_caller::soak_caller(asio::io_context& context,
+                         std::size_t number,
+                         std::uint64_t seed,
+                         soak_platform& platform,
+                         std::vector<std::unique_ptr<soak_instance>>& instances,
+                         request_ledger& ledger,
+                         soak_checks& checks)
+    : context_(context)
+    , number_(number)
+    , random_(seed)
+    , platform_(platform)
+    , instances_(instances)
+    , ledger_(ledger)
+    , checks_(checks)
+{
+}
+
+asio::awaitable<void> soak_caller::run()
+{
+    while (!stopped_)
+    {
+        if (core::clock::now() >= known_until_)
+            co_await ask_directory();
+        if (known_.empty())
+        {
+            co_await pause(longest_pause);
+            continue;
+        }
+        co_await use(known_.at(random_.below(known_.size())));
+    }
+}
+
+soak_caller::counts soak_caller::take_counts()
+{
+    return std::exchange(counts_, {});
+}
+
+asio::awaitable<void> soak_caller::ask_directory()
+{
+    for (unsigned i = 0; i < directory_tries; ++i)
+    {
+        auto const& asked = *instances_.at(random_.below(instances_.size()));
+        auto const server = asked.directory();
+        auto const answer = co_await stand_ins::call_once(
+            server,
+            stand_ins::make_request(http::verb::get,
+                                    "/resolve?name=shop.example&region=west"),
+            connect_time);
+        error_code error;
+        auto const body = answer && answer->result_int() == status_success
+                              ? boost::json::parse(answer->body(), error)
+                              : boost::json::value();
+        if (!body.is_object())
+            continue;
+        std::vector<std::size_t> named;
+        for (auto const& address : body.at("addresses").as_array())
+            for (std::size_t n = 0; n < instances_.size(); ++n)
+                if (std::string_view(address.as_string())
+                        .starts_with(instances_.at(n)->host() + ":"))
+                    named.push_back(n);
+        known_ = std::move(named);
+        known_until_ = core::clock::now() + keep_directory;
+        co_return;
+    }
+    // An older answer is kept while there is no new one.
+    known_until_ = core::clock::now() + longest_pause;
+}
+
+asio::awaitable<bool> soak_caller::connect(beast::tcp_stream& stream,
+                                           std::size_t instance)
+{
+    auto const& address = instances_.at(instance)->callers().address();
+    stream.expires_after(connect_time);
+    auto const [error] = co_await stream.async_connect(
+        tcp::endpoint(asio::ip::make_address(address.host), address.port),
+        as_result);
+    error_code ignored;
+    stream.socket().set_option(tcp::no_delay(true), ignored);
+    co_return !error;
+}
+
+asio::awaitable<void> soak_caller::use(std::size_t instance)
+{
+    beast::tcp_stream stream(context_);
+    bool const connected = co_await connect(stream, instance);
+    if (!connected)
+    {
+        std::erase(known_, instance);
+        co_return;
+    }
+    beast::flat_buffer buffer;
+    auto const requests = 1 + random_.below(most_requests);
+    for (std::size_t i = 0; i < requests && !stopped_; ++i)
+    {
+        bool const more = co_await ask(stream, buffer, instance);
+        if (!more)
+            co_return;
+        co_await pause(random_.between(0ms, longest_pause));
+        check_silence(stream, buffer);
+    }
+}
+
+asio::awaitable<bool> soak_caller::ask(beast::tcp_stream& stream,
+                                       beast::flat_buffer& buffer,
+                                       std::size_t instance)
+{
+    auto const deadline = random_.between(shortest_wait, longest_wait);
+    std::string id;
+    auto request = next_request(instance, deadline, id);
+    stream.expires_after(deadline + answer_tolerance);
+    auto const starts = instances_.at(instance)->process().starts();
+    ++counts_.sent;
+    auto const [error, size] =
+        co_await http::async_write(stream, request, as_result);
+    soak_checks::caller_view const view{
+        id, instance, core::clock::now(), starts};
+    if (error)
+    {
+        cut_off(view);
+        co_return false;
+    }
+    if (random_.chance(leaving_share))
+    {
+        co_await pause(random_.between(0ms, longest_pause));
+        ledger_.left(id);
+        co_return false;
+    }
+    co_return co_await read_answer(stream, buffer, view, deadline);
+}
+
+asio::awaitable<bool>
+soak_caller::read_answer(beast::tcp_stream& stream,
+                         beast::flat_buffer& buffer,
+                         soak_checks::caller_view const& view,
+                         std::chrono::milliseconds deadline)
+{
+    stream.expires_after(std::min(deadline, route_time) + answer_tolerance);
+    http_response answer;
+    auto const [error, size] =
+        co_await http::async_read(stream, buffer, answer, as_result);
+    if (error == beast::error::timeout)
+    {
+        checks_.unanswered(view);
+        co_return false;
+    }
+    if (error)
+    {
+        cut_off(view);
+        co_return false;
+    }
+    counts_.served += answer.result_int() == status_success ? 1 : 0;
+    checks_.answered(view,
+                     {answer.result_int(),
+                      std::string(as_view(answer["Response-Signature"])),
+                      answer.body()},
+                     answer.count(http::field::retry_after) != 0);
+    co_return answer.keep_alive();
+}
+
+http_request soak_caller::next_request(std::size_t instance,
+                                       std::chrono::milliseconds deadline,
+                                       std::string& id)
+{
+    auto route = platform_.routes().begin();
+    std::advance(route, random_.below(platform_.routes().size()));
+    bool const safe = route->second.is_safe;
+    id = std::to_string(number_) + "-" + std::to_string(++requests_);
+    http_request request(
+        safe ? http::verb::get : http::verb::post, route->first + "x" + id, 11);
+    request.set(http::field::host, "shop.example");
+    request.set("Request-Id", id);
+    request.set("Deadline-Ms", std::to_string(deadline.count()));
+    if (!safe)
+        request.body() = std::string(random_.below(most_bytes), 'b') + id;
+    if (!safe && random_.chance(chunked_share))
+        request.chunked(true);
+    else if (!safe)
+        request.prepare_payload();
+    ledger_.sent(id,
+                 {std::string(as_view(request.method_string())),
+                  std::string(as_view(request.target())),
+                  request.body(),
+                  route->first,
+                  safe,
+                  instance,
+                  deadline,
+                  {}});
+    return request;
+}
+
+void soak_caller::cut_off(soak_checks::caller_view const& view)
+{
+    checks_.cut_off(view);
+    // Until the directory names it again.
+    std::erase(known_, view.instance);
+}
+
+void soak_caller::check_silence(beast::tcp_stream& stream,
+                                beast::flat_buffer const& buffer)
+{
+    error_code error;
+    if (buffer.size() != 0 || stream.socket().available(error) != 0)
+        ledger_.report("MIXED",
+                       "caller " + std::to_string(number_) +
+                           " got bytes while it waited for no answer");
+}
+
+asio::awaitable<void> soak_caller::pause(std::chrono::milliseconds time)
+{
+    asio::steady_timer timer(context_, time);
+    co_await timer.async_wait(as_result);
+}
+
+} // namespace kumquatloom::soak
--- /dev/null
+++ b/soak/soak_platform.cpp
@@ -0,0 +1,372 @@
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <chrono>
+#include <soak/soak_instance.hpp>
+#include <soak/soak_platform.hpp>
+#include <utility>
+
+namespace kumquatloom::soak
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+using namespace std::chrono_literals;
+using stand_ins::store_behaviour;
+
+constexpr auto as_result = asio::as_tuple(asio::use_awaitable);
+
+/// Groups of IP numbers.
+constexpr unsigned upstream_group = 4;
+constexpr unsigned link_group = 5;
+constexpr unsigned store_group = 6;
+/// Times of the platform: between two renewals of an entry, until one is
+/// dropped, until an address is used again, and during which a leaving
+/// upstream goes on serving.
+constexpr auto renew_every = 1500ms;
+constexpr auto drop_after = 4500ms;
+constexpr auto reuse_after = 2000ms;
+constexpr auto serve_after_leaving = 2000ms;
+constexpr auto look_every = 100ms;
+/// Time for which the store must have been calm to be stable.
+constexpr auto stable_window = 3000ms;
+/// Bounds of the time in which a crashed upstream comes back.
+constexpr auto soonest_return = 300ms;
+constexpr auto latest_return = 3000ms;
+constexpr auto longest_extra_service = 2500ms;
+/// Names of the services.
+constexpr char const* shop = "shop";
+constexpr char const* pay = "pay";
+/// Topics and keys of the platform.
+constexpr char const* servers_topic = "keyed.servers";
+constexpr char const* operator_topic = "keyed.op";
+constexpr char const* configuration_key = "config";
+
+std::string other_service(std::string const& service)
+{
+    return service == shop ? pay : shop;
+}
+
+} // namespace
+
+soak_platform::soak_platform(asio::io_context& context,
+                             soak_settings const& settings,
+                             request_ledger& ledger,
+                             soak_upstream::checks checks)
+    : context_(context)
+    , settings_(settings)
+    , ledger_(ledger)
+    , checks_(std::move(checks))
+    , random_(settings.seed + 1)
+    , store_(context, {host_in(settings, store_group, 0), 0})
+    , routes_{{"/read/", {true, {{shop, 1}}}},
+              {"/order/", {false, {{shop, 1}}}},
+              {"/pay/", {false, {{pay, 1}}}},
+              {"/look/", {true, {{shop, 1}, {pay, 1}}}}}
+    , upstreams_(2 * settings.upstreams_per_service)
+{
+    for (std::size_t i = 0; i < upstreams_.size(); ++i)
+        start_upstream(i, fresh_id(), i % 2 == 0 ? shop : pay);
+    publish_routes();
+}
+
+void soak_platform::store_behaves(store_behaviour next)
+{
+    bool const was_normal = store_behaviour_ == store_behaviour::normal;
+    bool const is_normal = next == store_behaviour::normal;
+    if (was_normal && !is_normal)
+        store_trouble_.begin();
+    if (!was_normal && is_normal)
+        store_trouble_.end();
+    store_behaviour_ = next;
+    store_.behave(next);
+}
+
+void soak_platform::store_forgets()
+{
+    store_trouble_.touch();
+    store_.forget_history();
+}
+
+void soak_platform::entries_lapse()
+{
+    store_trouble_.touch();
+    for (auto& place : upstreams_)
+        if (place.is_listed && place.renews && !place.is_draining)
+            drop_entry(place);
+}
+
+void soak_platform::move_route(random_source& random)
+{
+    if (!store_works())
+        return;
+    auto item = routes_.begin();
+    std::advance(item, random.below(routes_.size()));
+    auto& services = item->second.services;
+    if (random.chance(0.5))
+        services = {{shop, 1 + random.below(4)}, {pay, 1 + random.below(4)}};
+    else
+        services = {{other_service(services.begin()->first), 1}};
+    publish_routes();
+}
+
+void soak_platform::add_route(random_source& random)
+{
+    if (!store_works())
+        return;
+    routes_["/added" + std::to_string(++added_routes_) + "/"] = {
+        random.chance(0.5), {{random.chance(0.5) ? shop : pay, 1}}};
+    publish_routes();
+}
+
+void soak_platform::remove_route(random_source& random)
+{
+    constexpr std::size_t lasting_routes = 4;
+    if (!store_works() || routes_.size() <= lasting_routes)
+        return;
+    // Added routes come first in the order of names.
+    auto item = routes_.begin();
+    std::advance(item, random.below(routes_.size() - lasting_routes));
+    routes_.erase(item);
+    publish_routes();
+}
+
+asio::awaitable<void> soak_platform::crash(std::size_t place,
+                                           std::uint64_t draw)
+{
+    random_source random(draw);
+    auto& item = upstreams_.at(place);
+    if (!item.renews)
+        co_return;
+    item.renews = false;
+    auto const self = item.upstream->self();
+    item.upstream->crash();
+    co_await pause(random.between(soonest_return, latest_return));
+    start_upstream(
+        place, random.chance(0.7) ? self.id : fresh_id(), self.service);
+}
+
+asio::awaitable<void> soak_platform::leave(std::size_t place,
+                                           std::uint64_t draw)
+{
+    random_source random(draw);
+    auto& item = upstreams_.at(place);
+    if (!item.renews)
+        co_return;
+    item.renews = false;
+    // Some say that they leave, the others only drop their entry.
+    while (!store_works())
+        co_await pause(look_every);
+    item.is_draining = random.chance(0.7);
+    if (item.is_draining)
+        write_entry(item);
+    else
+        drop_entry(item);
+    if (store_trouble_.calm_since(core::clock::now() - stable_window))
+        item.upstream->leaving_since = core::clock::now();
+    co_await pause(serve_after_leaving +
+                   random.between(0ms, longest_extra_service));
+    auto const service = item.upstream->self().service;
+    item.upstream->crash();
+    drop_entry(item);
+    co_await pause(reuse_after);
+    start_upstream(place, fresh_id(), service);
+}
+
+asio::awaitable<void> soak_platform::swap_addresses(std::uint64_t draw)
+{
+    random_source random(draw);
+    auto const one = 2 * random.below(settings_.upstreams_per_service);
+    auto const other = 2 * random.below(settings_.upstreams_per_service) + 1;
+    auto& first = upstreams_.at(one);
+    auto& second = upstreams_.at(other);
+    if (!first.renews || !second.renews)
+        co_return;
+    for (auto* const item : {&first, &second})
+    {
+        item->renews = false;
+        item->upstream->crash();
+    }
+    auto const service = first.upstream->self().service;
+    co_await pause(reuse_after + random.between(0ms, reuse_after));
+    start_upstream(one, fresh_id(), second.upstream->self().service);
+    start_upstream(other, fresh_id(), service);
+}
+
+asio::awaitable<void> soak_platform::renew_entries()
+{
+    while (true)
+    {
+        auto const now = core::clock::now();
+        if (store_works())
+        {
+            for (auto& place : upstreams_)
+                if (place.renews &&
+                    (now - place.renewed >= renew_every || !place.is_listed))
+                    write_entry(place);
+            drop_old_entries(now);
+        }
+        co_await pause(look_every);
+    }
+}
+
+bool soak_platform::store_works() const
+{
+    return store_behaviour_ == store_behaviour::normal ||
+           store_behaviour_ == store_behaviour::slow;
+}
+
+void soak_platform::start_upstream(std::size_t place,
+                                   std::string const& id,
+                                   std::string const& service)
+{
+    auto& item = upstreams_.at(place);
+    if (item.upstream)
+    {
+        if (item.is_listed && item.upstream->self().id != id)
+            orphans_[item.upstream->self().id] = item.renewed;
+        ended_.push_back(std::move(item.upstream));
+    }
+    long const born = std::chrono::duration_cast<std::chrono::milliseconds>(
+                          std::chrono::system_clock::now().time_since_epoch())
+                          .count();
+    item.upstream = std::make_unique<soak_upstream>(
+        context_,
+        soak_upstream::identity{id, service, domain_of(place / 2), born},
+        host_in(settings_, upstream_group, place),
+        ledger_,
+        random_.fork(),
+        checks_);
+    if (item.link)
+        item.link->retarget(item.upstream->address());
+    else
+        item.link = std::make_unique<loopback_proxy>(
+            context_,
+            settings::endpoint{host_in(settings_, link_group, place), 0},
+            item.upstream->address());
+    item.is_draining = false;
+    item.renews = true;
+    item.sequence = 0;
+    if (store_works())
+        write_entry(item);
+    else
+        item.is_listed = false;
+}
+
+void soak_platform::write_entry(upstream_place& place)
+{
+    auto const& self = place.upstream->self();
+    json::object const entry{
+        {"service", self.service},
+        {"address", to_string(place.link->address())},
+        {"zone", self.domain},
+        {"version", "1"},
+        {"slots", 4},
+        {"state", place.is_draining ? "draining" : "ready"},
+        {"warmupLeftS", 0},
+        {"born", self.born},
+        {"seq", ++place.sequence}};
+    store_.put(servers_topic, self.id, json::serialize(entry));
+    place.is_listed = true;
+    place.renewed = core::clock::now();
+}
+
+void soak_platform::drop_entry(upstream_place& place)
+{
+    store_.put(servers_topic, place.upstream->self().id, "");
+    place.is_listed = false;
+}
+
+void soak_platform::drop_old_entries(core::time_point now)
+{
+    for (auto& place : upstreams_)
+        if (!place.renews && !place.is_draining && place.is_listed &&
+            now - place.renewed >= drop_after)
+            drop_entry(place);
+    std::erase_if(orphans_,
+                  [&](auto const& item)
+                  {
+                      bool const lapses = now - item.second >= drop_after;
+                      if (lapses)
+                          store_.put(servers_topic, item.first, "");
+                      return lapses;
+                  });
+}
+
+void soak_platform::publish_routes()
+{
+    json::array rows;
+    route_targets targets;
+    for (auto const& [prefix, item] : routes_)
+    {
+        json::array split;
+        for (auto const& [service, weight] : item.services)
+        {
+            split.push_back(
+                json::object{{"service", service}, {"weight", weight}});
+            targets[prefix].insert(service);
+        }
+        bool const is_split = split.size() > 1;
+        json::value const service =
+            is_split ? json::value(nullptr)
+                     : json::value(item.services.begin()->first);
+        rows.push_back(
+            json::array{prefix,
+                        "shop.example",
+                        prefix,
+                        item.is_safe ? "safe" : "unsafe",
+                        3,
+                        1,
+                        1,
+                        is_split ? json::value(split) : json::value(nullptr),
+                        2,
+                        service});
+    }
+    version_ += 3;
+    json::object const whole{
+        {"version", version_},
+        {"routes",
+         json::object{{"columns",
+                       json::array{"name",
+                                   "host",
+                                   "pathPrefix",
+                                   "kind",
+                                   "timeoutS",
+                                   "targetLatencyS",
+                                   "priority",
+                                   "split",
+                                   "maxAttempts",
+                                   "service"}},
+                      {"rows", rows}}},
+        {"services",
+         json::object{
+             {"columns", json::array{"name"}},
+             {"rows", json::array{json::array{shop}, json::array{pay}}}}},
+        {"limits",
+         json::object{{"maxHeaderBytes", 16384},
+                      {"maxBodyBytes", 1048576},
+                      {"headerTimeoutS", 3},
+                      {"idleTimeoutS", 5}}}};
+    store_.put(operator_topic, configuration_key, json::serialize(whole));
+    history_.acknowledged(std::move(targets), core::clock::now());
+}
+
+asio::awaitable<void> soak_platform::pause(core::duration time)
+{
+    asio::steady_timer timer(context_, time);
+    co_await timer.async_wait(as_result);
+}
+
+std::string soak_platform::fresh_id()
+{
+    return "i-" + std::to_string(++ids_);
+}
+
+} // namespace kumquatloom::soak
--- /dev/null
+++ b/soak/soak_run.cpp
@@ -0,0 +1,222 @@
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <csignal>
+#include <soak/fault_plan.hpp>
+#include <soak/soak_run.hpp>
+#include <stand_ins/http_caller.hpp>
+#include <utility>
+
+namespace kumquatloom::soak
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+using namespace std::chrono_literals;
+
+constexpr auto as_result = asio::as_tuple(asio::use_awaitable);
+
+/// Failure domains.
+constexpr std::size_t domains = 4;
+/// How often ends of processes are looked for, and the pause before a restart.
+constexpr auto look_every = 20ms;
+constexpr auto restart_after = 300ms;
+/// Last part of the calm time, in which the service is to be back.
+constexpr auto recovered_for = 3000ms;
+/// Part of the requests that is served then, in hundredths.
+constexpr std::size_t recovered_percent = 90;
+/// Time after which a process that was asked to leave must have ended: the
+/// grace and a margin, or without timed checks any time that shows that it
+/// does not end at all. The same time is given to become ready.
+constexpr auto longest_leave = 8000ms;
+constexpr auto far_too_long = 60000ms;
+
+} // namespace
+
+soak_run::soak_run(soak_settings settings)
+    : settings_(std::move(settings))
+    , plan_(plan_faults(settings_))
+    , checks_(settings_, ledger_)
+    , platform_(context_,
+                settings_,
+                ledger_,
+                {[this](std::string const& id,
+                        sent_request const& sent,
+                        soak_upstream const& upstream)
+                 {
+                     checks_.arrived(id, sent, upstream);
+                 },
+                 [this](std::string const& id,
+                        sent_request const& sent,
+                        soak_upstream const& upstream)
+                 {
+                     checks_.worked(id, sent, upstream);
+                 }})
+    , injector_(context_, platform_, instances_)
+{
+    random_source random(settings_.seed + 2);
+    for (std::size_t i = 0; i < domains * settings_.instances_per_domain; ++i)
+        instances_.push_back(std::make_unique<soak_instance>(
+            context_, settings_, i, platform_.store_address()));
+    checks_.watch(platform_, instances_);
+    for (std::size_t i = 0; i < settings_.callers; ++i)
+        callers_.push_back(std::make_unique<soak_caller>(context_,
+                                                         i,
+                                                         random.fork(),
+                                                         platform_,
+                                                         instances_,
+                                                         ledger_,
+                                                         checks_));
+}
+
+bool soak_run::run()
+{
+    asio::co_spawn(context_, play(), asio::detached);
+    context_.run();
+    ledger_.finish();
+    return ledger_.violations().empty();
+}
+
+void soak_run::print(std::ostream& out) const
+{
+    out << "seed " << settings_.seed << ": " << plan_.size() << " faults, "
+        << ledger_.size() << " requests, answers";
+    for (auto const& [status, count] : ledger_.statuses())
+        out << " " << status << ":" << count;
+    out << ", " << ledger_.violations().size() << " broken promises\n";
+    if (ledger_.violations().empty())
+        return;
+    for (auto const& fault : plan_)
+        out << "  " << fault.at.count() << " ms " << to_string(fault.kind)
+            << " for " << fault.lasts.count() << " ms\n";
+    for (auto const& item : ledger_.violations())
+        out << "  " << item.promise << " " << item.detail << "\n";
+}
+
+asio::awaitable<void> soak_run::play()
+{
+    for (auto const& instance : instances_)
+        instance->start();
+    asio::co_spawn(context_, platform_.renew_entries(), asio::detached);
+    asio::co_spawn(context_, supervise(), asio::detached);
+    co_await wait_until_ready();
+    for (auto const& caller : callers_)
+        asio::co_spawn(context_, caller->run(), asio::detached);
+    auto now = 0ms;
+    for (auto const& fault : plan_)
+    {
+        co_await pause(fault.at - now);
+        now = fault.at;
+        asio::co_spawn(context_, injector_.play(fault), asio::detached);
+    }
+    co_await pause(settings_.faults_for - now + settings_.calm_for -
+                   recovered_for);
+    for (auto const& caller : callers_)
+        caller->take_counts();
+    co_await pause(recovered_for);
+    check_recovery();
+    co_await stop();
+    context_.stop();
+}
+
+asio::awaitable<void> soak_run::wait_until_ready()
+{
+    auto const until = core::clock::now() + far_too_long;
+    for (auto const& instance : instances_)
+        while (core::clock::now() < until)
+        {
+            auto const server = instance->directory();
+            auto const answer = co_await stand_ins::call_once(
+                server,
+                stand_ins::make_request(boost::beast::http::verb::get,
+                                        "/resolve?name=shop.example"),
+                look_every * 10);
+            if (answer && answer->result_int() == 200)
+                break;
+            co_await pause(look_every);
+        }
+    if (core::clock::now() >= until)
+        ledger_.report("START", "an instance is not ready");
+}
+
+asio::awaitable<void> soak_run::supervise()
+{
+    std::vector<std::optional<core::time_point>> ended(instances_.size());
+    while (true)
+    {
+        auto const now = core::clock::now();
+        for (std::size_t i = 0; i < instances_.size(); ++i)
+        {
+            auto& process = instances_.at(i)->process();
+            bool const ran = process.runs();
+            checks_.ended(*instances_.at(i), i);
+            if (ran && !process.runs())
+                ended.at(i) = now;
+            if (restarts_ && ended.at(i) && now - *ended.at(i) >= restart_after)
+            {
+                ended.at(i).reset();
+                instances_.at(i)->start();
+            }
+        }
+        co_await pause(look_every);
+    }
+}
+
+asio::awaitable<void> soak_run::stop()
+{
+    restarts_ = false;
+    for (auto const& caller : callers_)
+        caller->stop();
+    for (auto const& instance : instances_)
+        instance->process().signal(SIGTERM);
+    auto const until =
+        core::clock::now() + (settings_.timed ? longest_leave : far_too_long);
+    while (all_run() && core::clock::now() < until)
+        co_await pause(look_every);
+    for (std::size_t i = 0; i < instances_.size(); ++i)
+        if (instances_.at(i)->process().runs())
+            ledger_.report("EXIT",
+                           "instance " + std::to_string(i) +
+                               " does not end after SIGTERM");
+}
+
+bool soak_run::all_run()
+{
+    return std::any_of(instances_.begin(),
+                       instances_.end(),
+                       [](auto const& instance)
+                       {
+                           return instance->process().runs();
+                       });
+}
+
+void soak_run::check_recovery()
+{
+    soak_caller::counts sum;
+    for (auto const& caller : callers_)
+    {
+        auto const counts = caller->take_counts();
+        sum.sent += counts.sent;
+        sum.served += counts.served;
+    }
+    if (sum.served == 0 ||
+        (settings_.timed && sum.served * 100 < sum.sent * recovered_percent))
+        ledger_.report("RECOVER",
+                       std::to_string(sum.served) + " of " +
+                           std::to_string(sum.sent) +
+                           " requests are served after the faults");
+}
+
+asio::awaitable<void> soak_run::pause(std::chrono::milliseconds time)
+{
+    asio::steady_timer timer(context_, time);
+    co_await timer.async_wait(as_result);
+}
+
+} // namespace kumquatloom::soak
--- a/stand_ins/platform_store_stand_in.cpp
+++ b/stand_ins/platform_store_stand_in.cpp
@@ -1,5 +1,8 @@
 #include <kumquatloom/core/digest.hpp>
 
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <boost/endian/conversion.hpp>
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
@@ -17,6 +20,8 @@
 
 namespace json = boost::json;
 
+/// Time of an answer of a slow store: sixty times the usual 4 ms.
+constexpr std::chrono::milliseconds slow_answer{240};
 /// Records of one page of /log-newest.
 constexpr std::size_t page_size = 500;
 
@@ -91,19 +96,41 @@
     ++calls_;
     std::string_view const target(request.target().data(),
                                   request.target().size());
-    if (behaviour_ == store_behaviour::silent)
+    switch (behaviour_)
+    {
+    case store_behaviour::silent:
         co_return dropped_reply();
-    if (behaviour_ != store_behaviour::normal)
-        co_return json_reply(behaviour_ == store_behaviour::down ? 503 : 429,
-                             "{}");
+    case store_behaviour::down:
+        co_return json_reply(503, "{}");
+    case store_behaviour::refusing:
+        co_return json_reply(429, "{}");
+    case store_behaviour::slow:
+    {
+        boost::asio::steady_timer timer(
+            co_await boost::asio::this_coro::executor, slow_answer);
+        co_await timer.async_wait(boost::asio::use_awaitable);
+        break;
+    }
+    case store_behaviour::normal:
+    case store_behaviour::losing:
+        break;
+    }
+    auto reply = carry_out(request, target);
+    co_return behaviour_ == store_behaviour::losing ? dropped_reply()
+                                                    : std::move(reply);
+}
+
+http_reply platform_store_stand_in::carry_out(http_request const& request,
+                                              std::string_view target)
+{
     auto const path = target_path(target);
     if (path == "/log-append")
-        co_return answer_append(request);
+        return answer_append(request);
     if (path == "/log-read")
-        co_return answer_read(target);
+        return answer_read(target);
     if (path == "/log-newest")
-        co_return answer_newest(target);
-    co_return json_reply(404, "{}");
+        return answer_newest(target);
+    return json_reply(404, "{}");
 }
 
 http_reply platform_store_stand_in::answer_append(http_request const& request)
--- a/stand_ins/platform_store_stand_in.hpp
+++ b/stand_ins/platform_store_stand_in.hpp
@@ -19,7 +19,11 @@
     /// Every call is answered 429.
     refusing,
     /// Every connection is closed without an answer.
-    silent
+    silent,
+    /// Every answer takes long.
+    slow,
+    /// Every call is carried out, but its answer is lost.
+    losing
 };
 
 /// The shared platform's store, in memory: topics with keyed records in one
@@ -78,6 +82,7 @@
     };
 
     boost::asio::awaitable<http_reply> answer(http_request const& request);
+    http_reply carry_out(http_request const& request, std::string_view target);
     http_reply answer_append(http_request const& request);
     http_reply answer_read(std::string_view target);
     http_reply answer_newest(std::string_view target);
