Tell a neighbour that starts which upstreams are avoided

Change: the answer to a greeting lists the avoided upstreams with their log-odds; the new instance takes them over once and leaves the next trial to the others. Conclusion: kept for rolls and single kills, where neighbours live on (new test case in sickness_table_test); it does not help after a loss of all.

--- a/kumquatloom/entry/request_journal.cpp
+++ b/kumquatloom/entry/request_journal.cpp
@@ -99,13 +99,13 @@
 void request_journal::upstream_replaced(routing::pick const& chosen) const
 {
     auto const& endpoint = chosen.object->endpoint();
-    core::log_info("upstream_replaced",
-                   {{"request", id_},
-                    {"upstream", endpoint.id.value()},
-                    {"address", endpoint.host},
-                    {"port", endpoint.port},
-                    {"list_age_ms",
-                     listing_age_ms(state_, core::clock::now())}});
+    core::log_info(
+        "upstream_replaced",
+        {{"request", id_},
+         {"upstream", endpoint.id.value()},
+         {"address", endpoint.host},
+         {"port", endpoint.port},
+         {"list_age_ms", listing_age_ms(state_, core::clock::now())}});
 }
 
 void request_journal::answered(unsigned status,
--- a/kumquatloom/health/sickness_estimate.cpp
+++ b/kumquatloom/health/sickness_estimate.cpp
@@ -21,6 +21,13 @@
     added_ = now;
 }
 
+void sickness_estimate::adopt(double others, core::time_point now)
+{
+    auto const own = log_odds(now);
+    if (others > own)
+        add(others - own, now);
+}
+
 double sickness_estimate::log_odds(core::time_point now) const
 {
     std::chrono::duration<double> const age = now - added_;
--- a/kumquatloom/health/sickness_estimate.hpp
+++ b/kumquatloom/health/sickness_estimate.hpp
@@ -17,6 +17,10 @@
     /// Adds evidence; positive weights speak against the upstream.
     void add(double weight, core::time_point now);
 
+    /// Takes over log-odds that another observer has come to, unless the own
+    /// are as high.
+    void adopt(double log_odds, core::time_point now);
+
     /// The log-odds at present.
     double log_odds(core::time_point now) const;
 
--- a/kumquatloom/health/sickness_table.cpp
+++ b/kumquatloom/health/sickness_table.cpp
@@ -64,6 +64,35 @@
         add(found->second, weight, now);
 }
 
+void sickness_table::adopt(core::upstream_id const& upstream,
+                           double log_odds,
+                           core::time_point now)
+{
+    auto const found = upstreams_.find(upstream);
+    if (found == upstreams_.end() || log_odds <= settings_.avoid_above)
+        return;
+    auto& item = found->second;
+    bool const is_known = item.estimate.log_odds(now) > settings_.avoid_above;
+    item.estimate.adopt(log_odds, now);
+    // Its neighbours go on with the trials.
+    if (!is_known)
+        item.next_trial =
+            now + settings_.trial_interval + settings_.trial_turn * place_;
+}
+
+std::optional<double>
+sickness_table::believed(core::upstream_id const& upstream,
+                         core::time_point now) const
+{
+    auto const found = upstreams_.find(upstream);
+    if (found == upstreams_.end())
+        return std::nullopt;
+    auto const log_odds = found->second.estimate.log_odds(now);
+    if (log_odds <= settings_.avoid_above)
+        return std::nullopt;
+    return log_odds;
+}
+
 std::vector<standing_decision> sickness_table::decide(core::time_point now)
 {
     // The likeliest sick ones come first and use up the budget.
--- a/kumquatloom/health/sickness_table.hpp
+++ b/kumquatloom/health/sickness_table.hpp
@@ -9,6 +9,7 @@
 #include <kumquatloom/health/standing_decision.hpp>
 
 #include <cstddef>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -38,6 +39,16 @@
                double weight,
                core::time_point now);
 
+    /// Takes over that an upstream is avoided, from a neighbour that has known
+    /// it for longer.
+    void adopt(core::upstream_id const& upstream,
+               double log_odds,
+               core::time_point now);
+
+    /// The log-odds that an upstream is sick, if it is avoided for them.
+    std::optional<double> believed(core::upstream_id const& upstream,
+                                   core::time_point now) const;
+
     /// States the place of this instance among the observers that share the
     /// trials.
     void observe_as(std::size_t place)
--- a/kumquatloom/hosting/neighbour_message.hpp
+++ b/kumquatloom/hosting/neighbour_message.hpp
@@ -4,6 +4,7 @@
 #include <kumquatloom/core/ids.hpp>
 #include <kumquatloom/hosting/archive.hpp>
 #include <kumquatloom/hosting/environment_position.hpp>
+#include <kumquatloom/hosting/upstream_belief.hpp>
 #include <kumquatloom/hosting/upstream_report.hpp>
 #include <kumquatloom/routing/upstream_change.hpp>
 
@@ -20,8 +21,11 @@
 inline constexpr std::size_t max_reports = 96;
 /// Most changes of the list in one heartbeat. Who misses more fetches all.
 inline constexpr std::size_t max_changes = 4;
+/// Most upstreams that a new neighbour is warned of: three in ten of a domain's
+/// part of a service with hundreds of upstreams, twice over.
+inline constexpr std::size_t max_beliefs = 128;
 /// First byte of every message; another value is another version.
-inline constexpr std::uint8_t message_version = 2;
+inline constexpr std::uint8_t message_version = 3;
 
 /// Sent to every instance of the failure domain at short intervals.
 struct neighbour_message
@@ -53,6 +57,8 @@
     std::vector<routing::upstream_change> changes;
     /// Load and evidence.
     std::vector<upstream_report> reports;
+    /// Upstreams that the sender avoids; only in answer to `asks`.
+    std::vector<upstream_belief> beliefs;
 
     /// cereal's entry point.
     template <typename Archive>
@@ -72,7 +78,8 @@
         archive(position, own_reads, wire_age, changes_from);
         auto list = peer::bounded<max_changes>(changes);
         auto told = peer::bounded<max_reports>(reports);
-        archive(list, told);
+        auto believed = peer::bounded<max_beliefs>(beliefs);
+        archive(list, told, believed);
     }
 };
 
--- a/kumquatloom/hosting/neighbourhood.cpp
+++ b/kumquatloom/hosting/neighbourhood.cpp
@@ -130,7 +130,8 @@
     sent_ = core::clock::now();
     auto const reports = board_.take_reports();
     relay_.collect(reports);
-    auto const bytes = encode_message(false, reports);
+    auto message = new_message(false, reports);
+    auto const bytes = encode(message);
     for (auto const& host : table_.addresses())
         socket_.send({host, self_.address.port}, bytes);
 }
@@ -157,6 +158,7 @@
         return;
     if (message.asks)
         send_to({host, self_.address.port}, false);
+    board_.adopt(message.beliefs, now);
     loads_.tell(host, message.reports);
     relay_.collect(message.reports);
     board_.merge(message.reports, neighbour_trust, now);
@@ -166,11 +168,14 @@
 
 void neighbourhood::send_to(settings::endpoint const& target, bool asks)
 {
-    socket_.send(target, encode_message(asks, board_.load_reports()));
+    auto message = new_message(asks, board_.load_reports());
+    if (!asks)
+        message.beliefs = board_.beliefs(core::clock::now());
+    socket_.send(target, encode(message));
 }
 
-std::string neighbourhood::encode_message(bool asks,
-                                          std::vector<upstream_report> reports)
+neighbour_message
+neighbourhood::new_message(bool asks, std::vector<upstream_report> reports)
 {
     neighbour_message message;
     message.domain = self_.domain;
@@ -179,7 +184,7 @@
     message.asks = asks;
     message.reports = std::move(reports);
     hooks_.describe(message);
-    return encode(message);
+    return message;
 }
 
 bool neighbourhood::is_due(core::time_point now) const
--- a/kumquatloom/hosting/neighbourhood.hpp
+++ b/kumquatloom/hosting/neighbourhood.hpp
@@ -91,7 +91,8 @@
     void received(std::string const& host, domain_report const& report);
     void tell_other_domains(core::time_point now);
     void send_to(settings::endpoint const& target, bool asks);
-    std::string encode_message(bool asks, std::vector<upstream_report> reports);
+    neighbour_message new_message(bool asks,
+                                  std::vector<upstream_report> reports);
     bool is_due(core::time_point now) const;
 
     /// Who this instance is.
--- a/kumquatloom/hosting/upstream_board.cpp
+++ b/kumquatloom/hosting/upstream_board.cpp
@@ -125,6 +125,34 @@
         decide(now);
 }
 
+void upstream_board::adopt(std::vector<upstream_belief> const& beliefs,
+                           core::time_point now)
+{
+    for (auto const& belief : beliefs)
+        if (auto const found = upstreams_.find(belief.upstream);
+            found != upstreams_.end())
+            found->second.sickness->adopt(found->second.object->endpoint().id,
+                                          belief.log_odds / tenths,
+                                          now);
+    if (!beliefs.empty())
+        decide(now);
+}
+
+std::vector<upstream_belief> upstream_board::beliefs(core::time_point now) const
+{
+    std::vector<upstream_belief> result;
+    for (auto const& [hash, item] : upstreams_)
+    {
+        auto const believed =
+            item.sickness->believed(item.object->endpoint().id, now);
+        if (believed && result.size() < max_beliefs)
+            result.push_back(
+                {hash,
+                 static_cast<std::int16_t>(std::lround(*believed * tenths))});
+    }
+    return result;
+}
+
 void upstream_board::report_neighbours(load_board const& loads)
 {
     for (auto& [hash, item] : upstreams_)
--- a/kumquatloom/hosting/upstream_board.hpp
+++ b/kumquatloom/hosting/upstream_board.hpp
@@ -5,6 +5,7 @@
 #include <kumquatloom/core/ids.hpp>
 #include <kumquatloom/health/attempt_report.hpp>
 #include <kumquatloom/health/sickness_table.hpp>
+#include <kumquatloom/hosting/upstream_belief.hpp>
 #include <kumquatloom/hosting/upstream_report.hpp>
 #include <kumquatloom/routing/upstream.hpp>
 #include <kumquatloom/routing/upstream_table.hpp>
@@ -49,6 +50,13 @@
                double trust,
                core::time_point now);
 
+    /// Takes over what a neighbour believes that has been running for longer.
+    void adopt(std::vector<upstream_belief> const& beliefs,
+               core::time_point now);
+
+    /// Upstreams that are avoided, for a new neighbour.
+    std::vector<upstream_belief> beliefs(core::time_point now) const;
+
     /// Stores what others have in flight at all upstreams.
     void report_neighbours(load_board const& loads);
 
--- a/unit_tests/health/sickness_table_test.cpp
+++ b/unit_tests/health/sickness_table_test.cpp
@@ -180,6 +180,50 @@
     }
 }
 
+// Guards against instances that restart and send work to every sick upstream
+// once more.
+TEST_CASE("a new observer takes over what the others believe", "[health]")
+{
+    sickness_table old({}, 0.4);
+    sickness_table fresh({}, 0.4);
+    old.track(ten_upstreams(), start);
+    fresh.track(ten_upstreams(), start);
+    old.record(result(attempt_result::cut_short), start);
+    auto const believed = old.believed(sick, start + 1s);
+    REQUIRE(believed);
+    CHECK_FALSE(old.believed(core::upstream_id("well-1"), start + 1s));
+    fresh.adopt(sick, *believed, start + 1s);
+
+    SECTION("and avoids the same upstreams for the same time")
+    {
+        CHECK(is_avoided(fresh, sick, start + 1s));
+        for (auto now = start + 1s; now < start + 20s; now += 500ms)
+            CHECK(is_avoided(fresh, sick, now) == is_avoided(old, sick, now));
+    }
+
+    SECTION("once, however many tell it")
+    {
+        for (int i = 0; i < 20; ++i)
+            fresh.adopt(sick, *believed, start + 1s);
+        CHECK(fresh.believed(sick, start + 1s) == believed);
+    }
+
+    SECTION("but not against better knowledge")
+    {
+        for (int i = 0; i < 5; ++i)
+            fresh.record(result(attempt_result::success), start + 2s);
+        REQUIRE_FALSE(is_avoided(fresh, sick, start + 2s));
+        fresh.adopt(sick, 0, start + 2s);
+        CHECK_FALSE(is_avoided(fresh, sick, start + 2s));
+    }
+
+    SECTION("and leaves the first trial to them")
+    {
+        CHECK_FALSE(decision_of(fresh, sick, start + 2s).trial);
+        CHECK(decision_of(fresh, sick, start + 3s).trial);
+    }
+}
+
 // Guards against a service that loses most of its capacity to avoidance.
 TEST_CASE("a part of the upstreams is never avoided", "[health]")
 {
--- a/unit_tests/hosting/environment_test.cpp
+++ b/unit_tests/hosting/environment_test.cpp
@@ -225,11 +225,14 @@
     neighbour_message message;
     message.domain = core::failure_domain("west");
     message.reports.push_back({7, 2, -12});
+    message.beliefs.push_back({9, 41});
     auto const bytes = encode(message);
     auto const read = decode<neighbour_message>(bytes);
     REQUIRE(read);
     CHECK(read->reports.at(0).in_flight == 2);
     CHECK(read->reports.at(0).evidence == -12);
+    CHECK(read->beliefs.at(0).upstream == 9);
+    CHECK(read->beliefs.at(0).log_odds == 41);
     CHECK_FALSE(decode<neighbour_message>(bytes.substr(0, bytes.size() - 1)));
     CHECK_FALSE(decode<neighbour_message>("noise"));
     message.version = 1;
