Spend no memory on what the platform run does not use

Cause: every instance allocated the table of tickets (512 KB and 64 KB), the table of shares of limits (512 KB) and OpenSSL's random generator (300 KB), none of which has a use on the platform. Ruled out: linking libcrypto into the program (its 390 KB of relocations are then dirtied in the program itself), threads and log buffers (88 KB). Change: their sizes belong to the policy; random numbers that are no keys come from the kernel.

--- a/kumquatloom/core/digest.cpp
+++ b/kumquatloom/core/digest.cpp
@@ -6,8 +6,8 @@
 #include <openssl/hmac.h>
 #include <openssl/rand.h>
 
-#include <cstring>
 #include <stdexcept>
+#include <unistd.h>
 
 namespace kumquatloom::core
 {
@@ -148,9 +148,10 @@
 
 std::uint64_t random_u64()
 {
+    // Directly from the kernel: OpenSSL's generator takes 300 KB, for keys.
     std::uint64_t number = 0;
-    std::string const bytes = random_bytes(sizeof number);
-    std::memcpy(&number, bytes.data(), sizeof number);
+    if (::getentropy(&number, sizeof number) != 0)
+        throw std::runtime_error("no source of random numbers");
     return number;
 }
 
--- a/kumquatloom/entry/rate_limiter.cpp
+++ b/kumquatloom/entry/rate_limiter.cpp
@@ -38,8 +38,9 @@
 
 } // namespace
 
-rate_limiter::rate_limiter(limits::share_member self)
-    : shares_({}, std::move(self))
+rate_limiter::rate_limiter(limits::share_table_settings const& settings,
+                           limits::share_member self)
+    : shares_(settings, std::move(self))
 {
 }
 
--- a/kumquatloom/entry/rate_limiter.hpp
+++ b/kumquatloom/entry/rate_limiter.hpp
@@ -20,7 +20,8 @@
 {
 public:
     /// The shares of this process.
-    explicit rate_limiter(limits::share_member self);
+    rate_limiter(limits::share_table_settings const& settings,
+                 limits::share_member self);
 
     /// Takes the right to serve the request.
     bool try_take(admission::admitted_request const& admitted,
--- a/kumquatloom/entry/service_policy.hpp
+++ b/kumquatloom/entry/service_policy.hpp
@@ -4,8 +4,10 @@
 #include <kumquatloom/limits/deadline_admission.hpp>
 #include <kumquatloom/limits/latency_quantile.hpp>
 #include <kumquatloom/limits/retry_budget.hpp>
+#include <kumquatloom/limits/share_table.hpp>
 #include <kumquatloom/request/hedge_decider.hpp>
 #include <kumquatloom/request/retry_decider.hpp>
+#include <kumquatloom/request/ticket_table.hpp>
 #include <kumquatloom/routing/choice_rule.hpp>
 
 #include <chrono>
@@ -39,6 +41,10 @@
     /// request that must not run twice: an upstream that has forgotten the
     /// connection resets it, and then nothing tells whether the request ran.
     std::chrono::milliseconds unsafe_reuse_idle{20000};
+    /// Memory for tickets, and for shares of limits. Where requests have
+    /// neither, little of it is enough.
+    request::ticket_table_settings tickets;
+    limits::share_table_settings shares;
 };
 
 } // namespace kumquatloom::entry
--- a/kumquatloom/hosting/hosted_instance.cpp
+++ b/kumquatloom/hosting/hosted_instance.cpp
@@ -60,6 +60,9 @@
 /// Part of the mean service time that a request needs at least, in hundredths:
 /// service times are spread so widely that one in five takes less.
 constexpr unsigned needed_percent = 40;
+/// Places of tables for tickets and shares of limits, which callers here have
+/// none of; a power of two.
+constexpr std::size_t unused_places = 16;
 /// Bounds of requests before the configuration states its own.
 constexpr std::size_t max_header_bytes = 64 * 1024;
 constexpr std::size_t max_body_bytes = 64 * 1024 * 1024;
@@ -99,6 +102,8 @@
     policy.choice = routing::choice_rule::least_used;
     policy.follows_latency = false;
     policy.unsafe_reuse_idle = 4000ms;
+    policy.tickets = {unused_places, {unused_places, 0, 0}};
+    policy.shares.shares = unused_places;
     return policy;
 }
 
