Let connections wait while an instance starts

It also served before its neighbours had told it which upstreams they avoid. Ruled out: holding single requests, which need a place and a timer each. Change: accepting begins when the configuration and the neighbours' beliefs are known, 500 ms after the start at the latest. Until then connections wait in the kernel's queue. The new section of platform_path_test got 503 with a patience of 0.

--- a/kumquatloom/hosting/hosted_instance.cpp
+++ b/kumquatloom/hosting/hosted_instance.cpp
@@ -52,6 +52,10 @@
 /// Connections from one instance to one upstream: what an upstream accepts,
 /// about 390, divided among 48 instances.
 constexpr std::size_t connections_per_upstream = 8;
+/// Time after the list of instances is known in which neighbours' answers to
+/// the greeting arrive: the way there and back, and a turn of a loaded
+/// instance.
+constexpr std::chrono::milliseconds acquaintance_time{40};
 /// Pause between two attempts to announce this instance.
 constexpr std::chrono::milliseconds announce_pause{1000};
 /// Part of the retry budget that is used, in hundredths: the windows in which
@@ -215,7 +219,6 @@
     void run()
     {
         near.start();
-        asio::co_spawn(context, callers.run(), asio::detached);
         asio::co_spawn(context, operators.run(), asio::detached);
         asio::co_spawn(context, snapshots.run(), asio::detached);
         for (auto* const server : {readiness.get(), directory.get()})
@@ -261,6 +264,7 @@
                     near.learn(other);
                 core::log_info("instances_listed",
                                {{"count", instances.value().size()}});
+                listed_at = core::clock::now();
                 co_return;
             }
             core::log_warning("instances_unknown",
@@ -279,6 +283,7 @@
         {
             auto const now = core::clock::now();
             near.tick(now);
+            accept_callers(now);
             if (view.as_of())
                 state.listing_as_of = view.as_of()->time_since_epoch().count();
             if (!state.leaving)
@@ -302,6 +307,37 @@
         context.stop();
     }
 
+    /// Begins to accept callers as soon as their requests can be served: when
+    /// the configuration is known, and which upstreams the neighbours avoid.
+    /// Until then connections wait in the kernel, for a bounded time.
+    void accept_callers(core::time_point now)
+    {
+        bool const is_acquainted =
+            listed_at && now - *listed_at >= acquaintance_time;
+        bool const can_serve = view.document() && is_acquainted;
+        if (accepting ||
+            (!can_serve && now - state.started < settings.start_patience))
+            return;
+        accepting = true;
+        core::log_info("accepting_callers",
+                       {{"document", view.document() != nullptr},
+                        {"acquainted", is_acquainted}});
+        asio::co_spawn(context, callers.run(), asio::detached);
+        update_readiness();
+    }
+
+    /// Makes the instance ready as soon as it knows enough and accepts callers.
+    void update_readiness()
+    {
+        if (state.ready || !accepting || !view.document() || !view.as_of())
+            return;
+        state.ready = true;
+        core::log_info("ready",
+                       {{"document", view.document()->version},
+                        {"upstreams", view.upstreams().listing().size()}});
+        near.send_now();
+    }
+
     /// Takes over what has changed in the environment.
     void changed(environment::change const& change)
     {
@@ -320,14 +356,7 @@
         if (change.document)
             // The gate comes last: it admits requests to the services above.
             state.gate.publish(*document);
-        if (!state.ready && view.as_of())
-        {
-            state.ready = true;
-            core::log_info("ready",
-                           {{"document", document->version},
-                            {"upstreams", view.upstreams().listing().size()}});
-            near.send_now();
-        }
+        update_readiness();
     }
 
     /// Watches the upstreams of all services.
@@ -480,6 +509,10 @@
     asio::steady_timer timer;
     /// Signals to the process.
     asio::signal_set signals;
+    /// When the list of instances was read.
+    std::optional<core::time_point> listed_at;
+    /// Whether callers' connections are accepted.
+    bool accepting = false;
     /// Whether only running requests are completed.
     bool finishing = false;
     /// When the process ends even with running requests.
--- a/kumquatloom/hosting/hosted_settings.hpp
+++ b/kumquatloom/hosting/hosted_settings.hpp
@@ -47,6 +47,10 @@
     std::vector<settings::endpoint> seeds;
     /// Time from the request to stop to the end by force.
     std::chrono::milliseconds grace{6000};
+    /// Longest time after the start for which callers' connections wait until
+    /// their requests can be served: half of what a caller gives a request to
+    /// be read.
+    std::chrono::milliseconds start_patience{500};
     /// Attempts after the first for every 100 requests of a service, over the
     /// whole fleet and the window in which they are counted.
     unsigned retry_percent = 20;
--- a/unit_tests/platform/platform_path_test.cpp
+++ b/unit_tests/platform/platform_path_test.cpp
@@ -430,6 +430,7 @@
             {
                 store.behave(behaviour);
             });
+        fixture.settings.start_patience = std::chrono::milliseconds(10);
         fixture.start();
         CHECK(fixture.readiness() == 503);
         auto const answer = fixture.ask(safe_read);
@@ -449,6 +450,13 @@
         CHECK(fixture.ask(safe_read)->result_int() == 200);
     }
 
+    SECTION("a request that comes while it starts waits for the configuration")
+    {
+        fixture.settings.start_patience = std::chrono::seconds(20);
+        fixture.start();
+        CHECK(fixture.ask(safe_read)->result_int() == 200);
+    }
+
     SECTION("it goes on while the store is down")
     {
         fixture.start_ready();
