Make few calls to a store that is down, and none all at once

Cause: while the store was down every instance of a domain called it 1.6 times a second (25 a domain on the grown sites), and from an age of 1.3 s on all of them read at the same moment. Ruled out: restarts (232 x 5 calls), which are next. Change: behind the first ranks the instances share the time to the limit; pauses after failures grow with the live instances of the domain and differ by rank; the times follow the site's bound on changes (configApplyS, drainS). neighbour_table::place() gives rank and size together. New test cases: a domain of 1 to 640 makes few calls and notices the return; no more than 3 of 25 read within 25 ms.

--- a/kumquatloom/hosting/environment_reader.cpp
+++ b/kumquatloom/hosting/environment_reader.cpp
@@ -26,26 +26,29 @@
 
 } // namespace
 
-environment_reader::environment_reader(asio::io_context& context,
-                                       environment& view,
-                                       store_calls const& store,
-                                       std::uint16_t neighbour_port,
-                                       change_handler changed,
-                                       hosts_handler hosts_known)
+environment_reader::environment_reader(
+    asio::io_context& context,
+    environment& view,
+    store_calls const& store,
+    std::uint16_t neighbour_port,
+    membership::read_schedule_settings const& schedule,
+    change_handler changed,
+    hosts_handler hosts_known)
     : context_(context)
     , view_(view)
     , store_(store)
     , neighbour_port_(neighbour_port)
     , changed_(std::move(changed))
     , hosts_known_(std::move(hosts_known))
-    , schedule_({})
+    , schedule_(schedule)
 {
 }
 
-void environment_reader::tick(std::size_t rank, core::time_point now)
+void environment_reader::tick(membership::domain_place const& place,
+                              core::time_point now)
 {
     update(view_.expire(now));
-    if (reading_ || !schedule_.due(rank, now))
+    if (reading_ || !schedule_.due(place, now))
         return;
     reading_ = true;
     asio::co_spawn(context_, read(), asio::detached);
--- a/kumquatloom/hosting/environment_reader.hpp
+++ b/kumquatloom/hosting/environment_reader.hpp
@@ -34,11 +34,12 @@
                        environment& view,
                        store_calls const& store,
                        std::uint16_t neighbour_port,
+                       membership::read_schedule_settings const& schedule,
                        change_handler changed,
                        hosts_handler hosts_known);
 
     /// Reads the store if it is this instance's turn.
-    void tick(std::size_t rank, core::time_point now);
+    void tick(membership::domain_place const& place, core::time_point now);
 
     /// Takes over what a neighbour knows, and fetches the rest if there is
     /// more.
--- a/kumquatloom/hosting/hosted_instance.cpp
+++ b/kumquatloom/hosting/hosted_instance.cpp
@@ -168,6 +168,8 @@
               view,
               store,
               settings.listen.neighbours.port,
+              membership::read_schedule_settings::for_bound(
+                  settings.change_bound),
               [this](environment::change const& change)
               {
                   changed(change);
@@ -287,7 +289,7 @@
             if (view.as_of())
                 state.listing_as_of = view.as_of()->time_since_epoch().count();
             if (!state.leaving)
-                reader.tick(near.table().rank(now), now);
+                reader.tick(near.table().place(now), now);
             if (now >= next_decision)
             {
                 board.decide(now);
--- a/kumquatloom/hosting/hosted_settings.hpp
+++ b/kumquatloom/hosting/hosted_settings.hpp
@@ -51,6 +51,9 @@
     /// their requests can be served: half of what a caller gives a request to
     /// be read.
     std::chrono::milliseconds start_patience{500};
+    /// Time within which a change of the configuration must be in force, and an
+    /// upstream that leaves gets nothing new.
+    std::chrono::milliseconds change_bound{2000};
     /// Attempts after the first for every 100 requests of a service, over the
     /// whole fleet and the window in which they are counted.
     unsigned retry_percent = 20;
--- a/kumquatloom/hosting/neighbourhood.cpp
+++ b/kumquatloom/hosting/neighbourhood.cpp
@@ -80,7 +80,7 @@
     std::vector<std::string> live;
     for (auto const& item : table_.live(now))
         live.push_back(item.host);
-    auto const rank = table_.rank(now);
+    auto const rank = table_.place(now).rank;
     loads_.keep(live, now);
     board_.observe_as(rank);
     // Upstreams that were just listed have no load yet.
--- /dev/null
+++ b/kumquatloom/membership/domain_place.hpp
@@ -0,0 +1,20 @@
+#ifndef KUMQUATLOOM_MEMBERSHIP_DOMAIN_PLACE_HPP
+#define KUMQUATLOOM_MEMBERSHIP_DOMAIN_PLACE_HPP
+
+#include <cstddef>
+
+namespace kumquatloom::membership
+{
+
+/// Where an instance stands among the live ones of its failure domain.
+struct domain_place
+{
+    /// Its rank, from 0.
+    std::size_t rank = 0;
+    /// Live instances, with itself.
+    std::size_t size = 1;
+};
+
+} // namespace kumquatloom::membership
+
+#endif
--- a/kumquatloom/membership/neighbour_table.cpp
+++ b/kumquatloom/membership/neighbour_table.cpp
@@ -88,17 +88,19 @@
     return result;
 }
 
-std::size_t neighbour_table::rank(core::time_point now) const
+domain_place neighbour_table::place(core::time_point now) const
 {
-    auto const others = live(now);
-    return static_cast<std::size_t>(std::count_if(
-        others.begin(),
-        others.end(),
-        [&](neighbour const& item)
-        {
-            return !item.leaving && std::tie(item.incarnation, item.host) <
-                                        std::tie(own_incarnation_, own_host_);
-        }));
+    domain_place result;
+    for (auto const& item : live(now))
+    {
+        if (item.leaving)
+            continue;
+        ++result.size;
+        if (std::tie(item.incarnation, item.host) <
+            std::tie(own_incarnation_, own_host_))
+            ++result.rank;
+    }
+    return result;
 }
 
 } // namespace kumquatloom::membership
--- a/kumquatloom/membership/neighbour_table.hpp
+++ b/kumquatloom/membership/neighbour_table.hpp
@@ -2,6 +2,7 @@
 #define KUMQUATLOOM_MEMBERSHIP_NEIGHBOUR_TABLE_HPP
 
 #include <kumquatloom/core/clock.hpp>
+#include <kumquatloom/membership/domain_place.hpp>
 #include <kumquatloom/membership/neighbour.hpp>
 #include <kumquatloom/membership/neighbour_settings.hpp>
 
@@ -63,9 +64,9 @@
     /// leaving; without this instance.
     std::vector<std::string> serving(core::time_point now) const;
 
-    /// Place of this instance among the live ones by age, from 0: who is older
-    /// has the smaller rank. It is the same order everywhere.
-    std::size_t rank(core::time_point now) const;
+    /// Place of this instance among the live ones that are not leaving, by age:
+    /// who is older has the smaller rank. It is the same order everywhere.
+    domain_place place(core::time_point now) const;
 
 private:
     /// Times.
--- a/kumquatloom/membership/read_schedule.cpp
+++ b/kumquatloom/membership/read_schedule.cpp
@@ -37,26 +37,48 @@
     last_failure_ = now;
 }
 
-bool read_schedule::due(std::size_t rank, core::time_point now) const
+bool read_schedule::due(domain_place const& place, core::time_point now) const
 {
-    if (failures_ != 0 && now - last_failure_ < pause())
+    if (failures_ != 0 && now - last_failure_ < pause(place))
         return false;
     if (!as_of_)
         return true;
     bool const refused =
         failures_ != 0 && now - last_failure_ < settings_.penalty_time;
-    auto const place = rank + (refused ? settings_.penalty_ranks : 0);
-    auto const age = std::min<core::duration>(
-        settings_.period + settings_.step * static_cast<int>(place),
-        settings_.limit);
-    return now - *as_of_ >= age;
+    auto const rank = place.rank + (refused ? settings_.penalty_ranks : 0);
+    return now - *as_of_ >= age_for(rank, place.size);
 }
 
-core::duration read_schedule::pause() const
+core::duration read_schedule::age_for(std::size_t rank,
+                                      std::size_t instances) const
 {
+    auto const stepped = std::min(rank, settings_.stepped_ranks);
+    core::duration const age =
+        settings_.period + settings_.step * static_cast<int>(stepped);
+    if (rank <= settings_.stepped_ranks)
+        return age;
+    // The rest of the domain, those that step back included.
+    auto const others = std::max(instances + settings_.penalty_ranks, rank) -
+                        settings_.stepped_ranks;
+    auto const place = rank - settings_.stepped_ranks;
+    return age + (settings_.limit - age) * static_cast<int>(place) /
+                     static_cast<int>(others);
+}
+
+core::duration read_schedule::pause(domain_place const& place) const
+{
+    auto const count =
+        static_cast<int>(std::min(place.size, settings_.trying_ranks));
+    auto const shortest = std::max(settings_.shortest_pause,
+                                   settings_.shortest_pause_each * count);
+    auto const longest =
+        std::max(settings_.longest_pause, settings_.longest_pause_each * count);
     auto const doublings = std::min(failures_, max_doublings) - 1;
-    return std::min<core::duration>(settings_.shortest_pause * (1 << doublings),
-                                    settings_.longest_pause);
+    auto const usual =
+        std::min<core::duration>(shortest * (1 << doublings), longest);
+    // Spreads instances whose reads began to fail together, and leaves most
+    // tries to the first in rank.
+    return usual + usual * static_cast<int>(place.rank) / count;
 }
 
 } // namespace kumquatloom::membership
--- a/unit_tests/membership/neighbour_table_test.cpp
+++ b/unit_tests/membership/neighbour_table_test.cpp
@@ -90,12 +90,12 @@
     neighbour_table old({}, "10.0.0.2", 100);
     young.hear(heartbeat("10.0.0.2", 100, 1), start);
     old.hear(heartbeat("10.0.0.1", 200, 1), start);
-    CHECK(old.rank(start) == 0);
-    CHECK(young.rank(start) == 1);
+    CHECK(old.place(start).rank == 0);
+    CHECK(young.place(start).rank == 1);
 
     SECTION("the next one moves up when the first is gone")
     {
-        CHECK(young.rank(start + 2s) == 0);
+        CHECK(young.place(start + 2s).rank == 0);
     }
 
     SECTION("or leaves")
@@ -103,6 +103,6 @@
         auto leaving = heartbeat("10.0.0.2", 100, 2);
         leaving.leaving = true;
         young.hear(leaving, start);
-        CHECK(young.rank(start) == 0);
+        CHECK(young.place(start).rank == 0);
     }
 }
--- a/unit_tests/membership/read_schedule_test.cpp
+++ b/unit_tests/membership/read_schedule_test.cpp
@@ -25,47 +25,47 @@
     auto const turn = start + settings.period;
     read_schedule first(settings);
     read_schedule second(settings);
-    CHECK(first.due(0, start));
-    CHECK(second.due(1, start));
+    CHECK(first.due({0, 12}, start));
+    CHECK(second.due({1, 12}, start));
     first.know(start);
     second.know(start);
 
     SECTION("the first in rank reads when its knowledge is old")
     {
-        CHECK_FALSE(first.due(0, turn - 1ms));
-        CHECK(first.due(0, turn));
-        CHECK_FALSE(second.due(1, turn));
+        CHECK_FALSE(first.due({0, 12}, turn - 1ms));
+        CHECK(first.due({0, 12}, turn));
+        CHECK_FALSE(second.due({1, 12}, turn));
     }
 
     SECTION("the next one reads if it does not")
     {
-        CHECK(second.due(1, turn + settings.step));
+        CHECK(second.due({1, 12}, turn + settings.step));
     }
 
     SECTION("a neighbour's reading counts as the own")
     {
         second.know(turn);
-        CHECK_FALSE(second.due(1, turn + settings.step));
+        CHECK_FALSE(second.due({1, 12}, turn + settings.step));
         // Older news are no news.
         second.know(start);
-        CHECK_FALSE(second.due(1, turn + settings.step));
+        CHECK_FALSE(second.due({1, 12}, turn + settings.step));
     }
 
     SECTION("one that the store refuses lets others go first")
     {
         first.failed(turn);
-        CHECK_FALSE(first.due(0, turn + settings.step));
-        CHECK(second.due(1, turn + settings.step));
+        CHECK_FALSE(first.due({0, 12}, turn + settings.step));
+        CHECK(second.due({1, 12}, turn + settings.step));
         first.succeeded(turn + settings.step);
-        CHECK(first.due(0, turn + settings.step));
+        CHECK(first.due({0, 12}, turn + settings.step));
     }
 
     SECTION("failures in a row are repeated less often, but not seldom")
     {
         for (int i = 0; i < 40; ++i)
             first.failed(start + 1s);
-        CHECK_FALSE(first.due(0, start + 1s + 500ms));
-        CHECK(first.due(0, start + 1s + 600ms));
+        CHECK_FALSE(first.due({0, 1}, start + 1s + 500ms));
+        CHECK(first.due({0, 1}, start + 1s + 600ms));
     }
 }
 
@@ -77,9 +77,10 @@
              []
              {
                  auto const rank = *rc::gen::inRange<std::size_t>(0, 200);
+                 auto const size = *rc::gen::inRange<std::size_t>(1, 200);
                  read_schedule schedule({});
                  schedule.know(start);
-                 RC_ASSERT(schedule.due(rank, start + 1500ms));
+                 RC_ASSERT(schedule.due({rank, size}, start + 1500ms));
              });
 }
 
@@ -103,7 +104,7 @@
                  {
                      for (std::size_t rank = 0; rank < size; ++rank)
                      {
-                         if (!domain[rank].due(rank, now))
+                         if (!domain[rank].due({rank, size}, now))
                              continue;
                          if (refused[rank])
                          {
@@ -122,3 +123,62 @@
                  RC_ASSERT(reads <= 45U);
              });
 }
+
+// Guards against a large domain whose instances all call a store that is down,
+// again and again, and all at once when it is back.
+TEST_CASE("a domain makes few calls to a store that is down", "[membership]")
+{
+    auto const size = GENERATE(as<std::size_t>(), 1, 4, 12, 25, 100, 640);
+    std::vector<read_schedule> domain(size, read_schedule({}));
+    for (auto& item : domain)
+        item.know(start);
+    unsigned calls = 0;
+    auto const back = start + 6s;
+    auto now = start;
+    // Each call fails at once.
+    for (; now < back; now += 5ms)
+        for (std::size_t rank = 0; rank < size; ++rank)
+            if (domain[rank].due({rank, size}, now))
+            {
+                domain[rank].failed(now);
+                ++calls;
+            }
+    // Each instance tries at least twice, and all together ten times a second
+    // beside that.
+    CHECK(calls <= 60 + 4 * size);
+    CHECK(calls >= 2);
+
+    SECTION("and notices soon that it is back")
+    {
+        // The platform takes a store for stable three seconds after its
+        // return; half of that is left for the changes to spread.
+        bool noticed = false;
+        for (; !noticed && now < back + 1500ms; now += 5ms)
+            for (std::size_t rank = 0; rank < size && !noticed; ++rank)
+                noticed = domain[rank].due({rank, size}, now);
+        CHECK(noticed);
+    }
+}
+
+// Guards against reads of the whole domain at one moment, when the first in
+// rank are refused.
+TEST_CASE("instances of a large domain do not read at once", "[membership]")
+{
+    constexpr std::size_t size = 25;
+    std::vector<read_schedule> domain(size, read_schedule({}));
+    for (auto& item : domain)
+        item.know(start);
+    unsigned most = 0;
+    for (auto now = start; now < start + 1500ms; now += 25ms)
+    {
+        unsigned reads = 0;
+        for (std::size_t rank = 4; rank < size; ++rank)
+            if (domain[rank].due({rank, size}, now))
+            {
+                domain[rank].failed(now);
+                ++reads;
+            }
+        most = std::max(most, reads);
+    }
+    CHECK(most <= 3);
+}
