Send due trial requests to the upstream that has waited longest

Cause: an avoided upstream returns to service after successful trial requests. Only idempotent requests may be trials, one in four of this service, so more trials are due than can be sent. group_candidates() kept the last due upstream in table order, which is the order of ids within a failure domain. Upstreams with a low id were tried only when none with a higher one was due.

Change: a decision states since when the trial has been due, and the picker takes the earliest. This also holds for the standings of the own interface.

--- a/kumquatloom/health/evaluate_standings.cpp
+++ b/kumquatloom/health/evaluate_standings.cpp
@@ -33,7 +33,10 @@
     limiter.apply(decisions);
     for (auto& decision : decisions)
         if (decision.standing == upstream_standing::avoided)
+        {
             decision.trial = monitor.claim_trial(decision.upstream, now);
+            decision.trial_due_at = now;
+        }
     return decisions;
 }
 
--- a/kumquatloom/health/health_estimate_table.cpp
+++ b/kumquatloom/health/health_estimate_table.cpp
@@ -128,7 +128,8 @@
              log_odds,
              1,
              trial,
-             avoid && log_odds > settings_.last_resort_threshold});
+             avoid && log_odds > settings_.last_resort_threshold,
+             state.next_trial});
     }
     return decisions;
 }
--- a/kumquatloom/health/standing_decision.hpp
+++ b/kumquatloom/health/standing_decision.hpp
@@ -1,6 +1,7 @@
 #ifndef KUMQUATLOOM_HEALTH_STANDING_DECISION_HPP
 #define KUMQUATLOOM_HEALTH_STANDING_DECISION_HPP
 
+#include <kumquatloom/core/clock.hpp>
 #include <kumquatloom/core/ids.hpp>
 #include <kumquatloom/health/upstream_standing.hpp>
 
@@ -23,6 +24,8 @@
     /// Whether the upstream may receive requests other than trials only if all
     /// upstreams are avoided.
     bool last_resort = false;
+    /// When the trial request became due.
+    core::time_point trial_due_at{};
 };
 
 } // namespace kumquatloom::health
--- a/kumquatloom/routing/picker.cpp
+++ b/kumquatloom/routing/picker.cpp
@@ -189,7 +189,7 @@
     candidate_list last_resort;
     /// Whether any upstream is not avoided, with or without a free slot.
     bool any_not_avoided = false;
-    /// An avoided upstream that a trial request is due for.
+    /// The avoided upstream whose trial request has been due longest.
     boost::intrusive_ptr<upstream> const* trial = nullptr;
     /// Whether any upstream may receive requests, and whether any of those is
     /// untried.
@@ -225,7 +225,10 @@
         {
             (object->is_last_resort() ? result.last_resort : result.avoided)
                 .push_back(&object);
-            if (request.may_be_trial && object->is_trial_due())
+            bool const is_due = request.may_be_trial && object->is_trial_due();
+            if (is_due &&
+                (result.trial == nullptr ||
+                 object->trial_due_at() < (*result.trial)->trial_due_at()))
                 result.trial = &object;
         }
     }
--- a/kumquatloom/routing/upstream.cpp
+++ b/kumquatloom/routing/upstream.cpp
@@ -60,7 +60,11 @@
         std::memory_order_relaxed);
     last_resort_.store(decision.last_resort, std::memory_order_relaxed);
     if (decision.trial)
+    {
+        trial_due_at_.store(ticks(decision.trial_due_at),
+                            std::memory_order_relaxed);
         trial_due_.store(true, std::memory_order_relaxed);
+    }
     else if (decision.standing != health::upstream_standing::avoided)
         trial_due_.store(false, std::memory_order_relaxed);
     standing_.store(decision.standing, std::memory_order_release);
--- a/kumquatloom/routing/upstream.hpp
+++ b/kumquatloom/routing/upstream.hpp
@@ -136,6 +136,13 @@
                known_in_flight() == 0;
     }
 
+    /// When the last trial request became due.
+    core::time_point trial_due_at() const
+    {
+        return core::time_point(
+            core::duration(trial_due_at_.load(std::memory_order_relaxed)));
+    }
+
     /// Whether it has a free slot as far as this instance knows: the attempts
     /// of this instance are below the concurrency limit, the known attempts of
     /// all instances are below the number of slots, and no recent load report
@@ -174,6 +181,8 @@
     std::atomic<bool> last_resort_{false};
     /// Whether a trial request is due.
     std::atomic<bool> trial_due_{false};
+    /// When the trial request became due, in ticks of the clock.
+    std::atomic<core::duration::rep> trial_due_at_{0};
     std::atomic<bool> leaving_{false};
     /// Last reported load and the time of the report, in ticks of the clock.
     std::atomic<unsigned> reported_load_{0};
