Bound the bytes that are buffered for an incomplete part of a message

Cause: Beast's parser consumes the header of a chunk and a trailer only as a whole and limits neither. The receive buffer of a connection to an upstream had no maximum size, so it grew until the deadline of the attempt. Chunk extensions and many small chunks were limited by the size of the body alone.

Evidence: the new tests play 20 parts of the grammar of a response on the own interface and 21 on the platform's.

Change: one type of buffer, receive_buffer, with a maximum of 128 KiB, for all messages that are read with Beast: answers of upstreams, of the store and of other instances, requests of callers and operators, and the answers that the command line reads. The bytes of a body, with its framing, count against the limit on the size of an answer. A head that exceeds its limit counts as a wrong answer, which is evidence against the upstream and may be retried if the request is idempotent.

--- a/kumquatloom/cli/entries_command.cpp
+++ b/kumquatloom/cli/entries_command.cpp
@@ -1,11 +1,11 @@
 #include <kumquatloom/cli/command.hpp>
 #include <kumquatloom/cli/command_line.hpp>
 #include <kumquatloom/cli/commands.hpp>
+#include <kumquatloom/log_service/receive_buffer.hpp>
 #include <kumquatloom/settings/endpoint.hpp>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/read.hpp>
@@ -82,7 +82,7 @@
     asio::io_context context;
     beast::tcp_stream stream(context);
     stream.expires_after(request_timeout);
-    beast::flat_buffer buffer;
+    log_service::receive_buffer buffer;
     http::response_parser<http::string_body> parser;
     parser.body_limit(max_response_bytes);
     beast::error_code failure;
--- a/kumquatloom/cli/operator_request.cpp
+++ b/kumquatloom/cli/operator_request.cpp
@@ -1,9 +1,9 @@
 #include <kumquatloom/cli/operator_request.hpp>
+#include <kumquatloom/log_service/receive_buffer.hpp>
 #include <kumquatloom/settings/endpoint.hpp>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
@@ -98,8 +98,7 @@
     asio::io_context context_;
     /// The connection.
     beast::tcp_stream stream_;
-    /// Receive buffer.
-    beast::flat_buffer buffer_;
+    log_service::receive_buffer buffer_;
     /// Parser of the response.
     http::response_parser<http::string_body> parser_;
     /// Result of the last operation.
--- a/kumquatloom/entry/caller_session.cpp
+++ b/kumquatloom/entry/caller_session.cpp
@@ -25,9 +25,6 @@
 
 /// Size of one read while waiting for a request or reading its header.
 constexpr std::size_t read_size = 4096;
-/// Limit on received bytes that the parser has not consumed yet. The parser
-/// consumes a header, or the header of a chunk, only as a whole.
-constexpr std::size_t max_buffered_bytes = 128 * 1024;
 /// Longest chunk extensions that are accepted.
 constexpr std::size_t max_chunk_extensions = 1024;
 /// Limits on the data that is read and discarded before the connection is
@@ -85,7 +82,6 @@
                                instance_state& state,
                                proxy_handler& handler)
     : stream_(std::move(socket))
-    , buffer_(max_buffered_bytes)
     , state_(state)
     , handler_(handler)
 {
@@ -208,7 +204,7 @@
             if (parser.is_header_done())
                 break;
         }
-        if (buffer_.size() + read_size > max_buffered_bytes)
+        if (buffer_.size() + read_size > buffer_.max_size())
             co_return http::error::header_limit;
         auto const [error, size] = co_await stream_.async_read_some(
             buffer_.prepare(read_size), as_result);
--- a/kumquatloom/entry/caller_session.hpp
+++ b/kumquatloom/entry/caller_session.hpp
@@ -3,8 +3,8 @@
 
 #include <kumquatloom/document/document.hpp>
 #include <kumquatloom/entry/http_types.hpp>
+#include <kumquatloom/log_service/receive_buffer.hpp>
 
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/intrusive/list.hpp>
 #include <boost/smart_ptr/intrusive_ptr.hpp>
@@ -65,7 +65,7 @@
 
     beast::tcp_stream stream_;
     /// Bytes that were read but not parsed yet.
-    beast::flat_buffer buffer_;
+    log_service::receive_buffer buffer_;
     /// State shared by all threads of the instance.
     instance_state& state_;
     /// Handles the requests.
--- a/kumquatloom/entry/operator_server.cpp
+++ b/kumquatloom/entry/operator_server.cpp
@@ -7,10 +7,10 @@
 #include <kumquatloom/entry/metrics_page.hpp>
 #include <kumquatloom/entry/operator_server.hpp>
 #include <kumquatloom/entry/status_page.hpp>
+#include <kumquatloom/log_service/receive_buffer.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
@@ -68,7 +68,7 @@
 asio::awaitable<void> operator_server::serve(tcp::socket socket)
 {
     beast::tcp_stream stream(std::move(socket));
-    beast::flat_buffer buffer;
+    log_service::receive_buffer buffer;
     http::request_parser<http::string_body> parser;
     parser.body_limit(operator_body_limit);
     stream.expires_after(operator_timeout);
--- a/kumquatloom/entry/owner_forwarder.cpp
+++ b/kumquatloom/entry/owner_forwarder.cpp
@@ -3,12 +3,12 @@
 #include <kumquatloom/entry/inbound_request.hpp>
 #include <kumquatloom/entry/instance_state.hpp>
 #include <kumquatloom/entry/owner_forwarder.hpp>
+#include <kumquatloom/log_service/receive_buffer.hpp>
 #include <kumquatloom/request/header_names.hpp>
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/address.hpp>
 #include <boost/asio/write.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 
@@ -90,7 +90,7 @@
         co_await asio::async_write(stream, buffers, as_result);
     if (write_error)
         co_return std::nullopt;
-    beast::flat_buffer buffer;
+    log_service::receive_buffer buffer;
     http::response_parser<http::string_body> parser;
     parser.body_limit(state_.settings.upstreams.answer_limit_bytes);
     parser.skip(inbound.message.method() == http::verb::head);
--- a/kumquatloom/entry/page_server.cpp
+++ b/kumquatloom/entry/page_server.cpp
@@ -1,11 +1,11 @@
 #include <kumquatloom/entry/header_views.hpp>
 #include <kumquatloom/entry/local_response.hpp>
 #include <kumquatloom/entry/page_server.hpp>
+#include <kumquatloom/log_service/receive_buffer.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
@@ -65,7 +65,7 @@
 asio::awaitable<void> page_server::serve(tcp::socket socket)
 {
     beast::tcp_stream stream(std::move(socket));
-    beast::flat_buffer buffer;
+    log_service::receive_buffer buffer;
     bool keep_open = true;
     while (keep_open)
     {
--- a/kumquatloom/entry/upstream_connection.hpp
+++ b/kumquatloom/entry/upstream_connection.hpp
@@ -3,9 +3,9 @@
 
 #include <kumquatloom/core/clock.hpp>
 #include <kumquatloom/entry/http_types.hpp>
+#include <kumquatloom/log_service/receive_buffer.hpp>
 
 #include <boost/asio/io_context.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 
 namespace kumquatloom::entry
 {
@@ -34,7 +34,7 @@
     }
 
     /// Bytes that were read but not parsed yet.
-    beast::flat_buffer& buffer()
+    log_service::receive_buffer& buffer()
     {
         return buffer_;
     }
@@ -42,7 +42,7 @@
 private:
     beast::tcp_stream stream_;
     /// Bytes that were read but not parsed yet.
-    beast::flat_buffer buffer_;
+    log_service::receive_buffer buffer_;
 };
 
 } // namespace kumquatloom::entry
--- a/kumquatloom/entry/upstream_exchange.cpp
+++ b/kumquatloom/entry/upstream_exchange.cpp
@@ -30,6 +30,8 @@
 constexpr unsigned max_stray_responses = 4;
 /// Largest header of an upstream's response.
 constexpr std::uint32_t response_header_limit = 64 * 1024;
+/// Allowance for the chunk headers and trailers of a body of the maximum size.
+constexpr std::size_t framing_allowance = 64 * 1024;
 
 /// Generates a globally unique request id: a random number for the process and
 /// a sequence number for the attempt.
@@ -189,13 +191,18 @@
     auto const length = parser.content_length();
     if (length && !parser.is_done() && !result_.memory.grow_to(*length))
         co_return fail(exchange_status::answer_too_large);
+    auto const limit = state_.settings.upstreams.answer_limit_bytes;
+    std::size_t received = 0;
     while (!parser.is_done())
     {
         auto const [error, size] = co_await http::async_read_some(
             connection.stream(), connection.buffer(), parser, as_result);
         if (error)
             co_return fail(error);
-        if (!result_.memory.grow_to(parser.get().body().capacity()))
+        auto const& body = parser.get().body();
+        received += size;
+        if (received > limit + framing_allowance ||
+            !result_.memory.grow_to(body.capacity()))
             co_return fail(exchange_status::answer_too_large);
     }
     co_return true;
@@ -252,7 +259,7 @@
 {
     if (error == beast::error::timeout)
         return fail(exchange_status::timeout);
-    if (error == http::error::body_limit || error == http::error::header_limit)
+    if (error == http::error::body_limit)
         return fail(exchange_status::answer_too_large);
     return fail(is_parse_error(error) ? exchange_status::wrong_answer
                                       : exchange_status::cut_short);
--- a/kumquatloom/log_service/http_client.cpp
+++ b/kumquatloom/log_service/http_client.cpp
@@ -1,4 +1,5 @@
 #include <kumquatloom/log_service/http_client.hpp>
+#include <kumquatloom/log_service/receive_buffer.hpp>
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/ip/address.hpp>
@@ -6,7 +7,6 @@
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/error.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
@@ -32,7 +32,9 @@
 {
     if (error == beast::error::timeout)
         return http_error::timed_out;
-    if (error == http::error::body_limit || error == http::error::header_limit)
+    if (error == http::error::body_limit ||
+        error == http::error::header_limit ||
+        error == http::error::buffer_overflow)
         return http_error::too_large;
     if (error == http::error::partial_message ||
         error == http::error::end_of_stream ||
@@ -110,7 +112,7 @@
     if (write_error)
         co_return to_http_error(write_error);
 
-    beast::flat_buffer buffer;
+    receive_buffer buffer;
     http::response_parser<http::string_body> parser;
     parser.header_limit(max_header_bytes);
     parser.body_limit(max_body_bytes);
--- a/unit_tests/entry/raw_upstream.cpp
+++ b/unit_tests/entry/raw_upstream.cpp
@@ -24,6 +24,8 @@
 namespace http = boost::beast::http;
 
 constexpr auto as_result = asio::as_tuple(asio::use_awaitable);
+/// Minimum size of one write of endless bytes.
+constexpr std::size_t endless_write_bytes = 64 * 1024;
 
 } // namespace
 
@@ -96,6 +98,11 @@
         }
         auto const [write_error, write_size] = co_await asio::async_write(
             socket, asio::buffer(reply.bytes), as_result);
+        if (!reply.endless.empty())
+        {
+            co_await write_endlessly(socket, reply.endless);
+            co_return;
+        }
         if (reply.reset)
         {
             socket.set_option(asio::socket_base::linger(true, 0));
@@ -108,6 +115,23 @@
     }
 }
 
+asio::awaitable<void>
+raw_upstream::write_endlessly(asio::ip::tcp::socket& socket,
+                              std::string const& unit)
+{
+    std::string block;
+    while (block.size() < endless_write_bytes)
+        block += unit;
+    boost::system::error_code failure;
+    while (!failure)
+    {
+        auto const [error, size] =
+            co_await asio::async_write(socket, asio::buffer(block), as_result);
+        failure = error;
+        endless_bytes_ += size;
+    }
+}
+
 asio::awaitable<bool> raw_upstream::hold(asio::ip::tcp::socket& socket)
 {
     ++held_;
--- a/unit_tests/entry/raw_upstream.hpp
+++ b/unit_tests/entry/raw_upstream.hpp
@@ -32,6 +32,9 @@
     /// Whether to delay the response until release() or until the entry
     /// instance closes the connection.
     bool hold = false;
+    /// Bytes that are repeated after `bytes` until the entry instance closes
+    /// the connection.
+    std::string endless = {};
 };
 
 /// A complete response that echoes the request id.
@@ -85,6 +88,12 @@
         return held_;
     }
 
+    /// Total size of the endless bytes that were written.
+    std::uint64_t endless_bytes() const
+    {
+        return endless_bytes_;
+    }
+
     /// Responds to all held requests and holds no further ones.
     void release()
     {
@@ -95,6 +104,9 @@
     boost::asio::awaitable<void> accept();
     boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket socket);
     boost::asio::awaitable<bool> hold(boost::asio::ip::tcp::socket& socket);
+    boost::asio::awaitable<void>
+    write_endlessly(boost::asio::ip::tcp::socket& socket,
+                    std::string const& unit);
 
     /// Returns the reply to each request.
     script on_request_;
@@ -106,6 +118,7 @@
     std::atomic<unsigned> connections_{0};
     std::atomic<unsigned> cancelled_{0};
     std::atomic<unsigned> held_{0};
+    std::atomic<std::uint64_t> endless_bytes_{0};
     /// Whether release() was called.
     std::atomic<bool> released_{false};
     std::thread thread_;
--- /dev/null
+++ b/unit_tests/platform/endless_response_test.cpp
@@ -0,0 +1,73 @@
+#include <catch2/catch.hpp>
+
+#include <string>
+#include <unit_tests/entry/endless_response.hpp>
+#include <unit_tests/platform/platform_fixture.hpp>
+#include <vector>
+
+namespace
+{
+
+using namespace kumquatloom::unit_tests;
+
+/// Maximum size of an upstream's response body, and the bytes that the kernel
+/// accepts on one connection before they are read.
+constexpr std::uint64_t answer_limit_bytes = 4 * 1024 * 1024;
+constexpr std::uint64_t kernel_buffers_bytes = 12 * 1024 * 1024;
+
+std::string identifying_fields(std::string_view id)
+{
+    return "Request-Id: " + std::string(id) +
+           "\r\nResponse-Signature: 3e1b.07\r\n";
+}
+
+/// The responses that never end, and a sequence of responses to other requests.
+std::vector<endless_response> platform_endless_responses(std::string_view id)
+{
+    auto result = endless_responses(identifying_fields(id));
+    result.push_back({"responses to other requests",
+                      "",
+                      "HTTP/1.1 200 OK\r\n" + identifying_fields("another") +
+                          "Content-Length: 4\r\n\r\ndone"});
+    return result;
+}
+
+} // namespace
+
+// Guards against memory exhaustion by an upstream whose response never ends.
+TEST_CASE("an endless response of a platform's upstream is cut off",
+          "[platform]")
+{
+    auto const index =
+        GENERATE(range(std::size_t{0}, platform_endless_responses("").size()));
+    auto const part = platform_endless_responses("")[index].part;
+    platform_fixture fixture;
+    auto& upstream = fixture.add_upstream(
+        [&](received_request const& request)
+        {
+            if (request.target() != "/order/endless")
+                return raw_reply{platform_response(request, "done")};
+            auto const response =
+                platform_endless_responses(request["Request-Id"])[index];
+            raw_reply reply;
+            reply.bytes = response.before;
+            reply.endless = response.unit;
+            return reply;
+        });
+    fixture.start_ready();
+
+    DYNAMIC_SECTION(part)
+    {
+        auto const endless = fixture.exchange(
+            platform_request("POST", "/order/endless", "kit", 3000));
+        REQUIRE(endless);
+        CHECK(endless->result_int() == 502);
+        CHECK(upstream.endless_bytes() <
+              answer_limit_bytes + kernel_buffers_bytes);
+
+        auto const next =
+            fixture.exchange(platform_request("POST", "/order/1", "kit"));
+        REQUIRE(next);
+        CHECK(next->body() == "done");
+    }
+}
