Do not send a refused request again on the same connection

What callers saw: nothing yet; reported from elsewhere. A caller whose request was refused sends it again with the same id, the upstream runs it and writes the earlier refusal once more on the kept connection, and the caller is told that the request was not run.

Cause: in a dialect that keeps the caller's id, the id is all that tells a response from an earlier one. Within one request each attempt goes to another upstream, and an earlier refusal with another id was skipped before; but a second request with the same id could take the same connection.

--- a/kumquatloom/entry/upstream_connection.cpp
+++ b/kumquatloom/entry/upstream_connection.cpp
@@ -1,7 +1,10 @@
+#include <kumquatloom/core/hashing.hpp>
 #include <kumquatloom/entry/upstream_connection.hpp>
 
 #include <boost/asio/buffer.hpp>
 
+#include <algorithm>
+
 namespace kumquatloom::entry
 {
 
@@ -35,6 +38,18 @@
     return error == asio::error::would_block;
 }
 
+void upstream_connection::record_refusal(core::request_id const& id)
+{
+    refused_.push_back(core::stable_hash(id.value()));
+}
+
+bool upstream_connection::has_refused(core::request_id const& id) const
+{
+    return std::find(refused_.begin(),
+                     refused_.end(),
+                     core::stable_hash(id.value())) != refused_.end();
+}
+
 void upstream_connection::close()
 {
     error_code ignored;
--- a/kumquatloom/entry/upstream_exchange.cpp
+++ b/kumquatloom/entry/upstream_exchange.cpp
@@ -87,15 +87,22 @@
     state_.events.increment(entry_event::attempt_started);
     bool const repeatable =
         task_.attempts.repeat() == request::idempotency::idempotent;
-    auto lease = co_await pool.acquire(
-        task_.cancel,
-        task_.until.at(),
-        repeatable ? core::duration::max()
-                   : state_.policy.max_idle_non_idempotent);
-    if (lease)
-        co_await exchange(lease.value());
-    else
-        fail(lease.error());
+    bool is_fresh = false;
+    while (!is_fresh)
+    {
+        auto lease = co_await pool.acquire(
+            task_.cancel,
+            task_.until.at(),
+            repeatable ? core::duration::max()
+                       : state_.policy.max_idle_non_idempotent);
+        // A refusal of the same request that is written again could not be
+        // told from a new one.
+        is_fresh = !lease || !lease.value().connection().has_refused(id_);
+        if (!lease)
+            fail(lease.error());
+        else if (is_fresh)
+            co_await exchange(lease.value());
+    }
     if (task_.cancel.requested())
         state_.events.increment(entry_event::exchange_cancelled);
     co_return std::move(result_);
@@ -130,9 +137,14 @@
             co_return;
         // A connection is reused only after a complete exchange without
         // leftover bytes and without responses to earlier requests.
-        if (parser.keep_alive() && strays == 0 && connection.is_reusable())
+        bool const keep_alive = parser.keep_alive();
+        if (result_.status == exchange_status::refused &&
+            state_.dialect.keeps_request_id)
+            connection.record_refusal(id_);
+        if (keep_alive && strays == 0 && connection.can_record_refusal() &&
+            connection.is_reusable())
             lease.return_connection(keep_for);
-        else if (parser.keep_alive())
+        else if (keep_alive && connection.can_record_refusal())
             state_.events.increment(entry_event::upstream_leftover);
         co_return;
     }
