Follow the two topics of the store independently

Cause: an instance holds a position in the topic of the configuration and one in the topic of the upstreams, but compared them as one.

Change: each part is applied if it is not older than what is held. A neighbour whose contents are included in the own ones confirms them.

--- a/kumquatloom/hosting/store_replica.cpp
+++ b/kumquatloom/hosting/store_replica.cpp
@@ -49,29 +49,33 @@
                                            core::time_point now)
 {
     change result;
-    // Newer contents may have arrived from a neighbour during the read.
-    if (page.next.upstreams < position_.upstreams ||
-        page.next.configuration < position_.configuration)
-        return result;
     ++own_reads_;
     last_own_read_ = as_of;
     advance_to(as_of, now);
-    if (page.document)
-        result.document_changed = apply_document(*page.document);
+    // Newer contents may have arrived from a neighbour during the read, of the
+    // configuration or of the upstreams alone.
+    if (page.next.configuration >= position_.configuration)
+    {
+        if (page.document)
+            result.document_changed = apply_document(*page.document);
+        position_.configuration = page.next.configuration;
+    }
+    if (page.next.upstreams < position_.upstreams)
+        return result;
     if (page.is_complete)
     {
         std::vector<routing::listed_upstream> listed;
         for (auto const& item : page.upstreams)
             if (item.entry)
                 listed.push_back(*item.entry);
-        result.upstreams_changed = registry_.replace(listed, now);
-        position_ = page.next;
-        clear_recent_changes();
+        replace_upstreams(listed, page.next.upstreams, now, result);
     }
     else
+    {
         result.upstreams_changed =
             apply_changes(page.upstreams, page.next.upstreams, now);
-    position_ = page.next;
+        position_.upstreams = page.next.upstreams;
+    }
     return result;
 }
 
@@ -81,28 +85,23 @@
     change result;
     if (!message.has_contents)
         return result;
-    // A message contains recent changes of the upstreams but no configuration,
-    // so a newer configuration requires a snapshot.
-    bool const misses_changes =
-        !as_of_ || position_.configuration < message.position.configuration ||
-        position_.upstreams < message.changes_since.upstreams;
     bool const has_new_changes =
         position_.upstreams < message.position.upstreams;
-    if (misses_changes &&
-        (has_new_changes || !as_of_ ||
-         position_.configuration < message.position.configuration))
+    // A message contains recent changes of the upstreams but no configuration,
+    // so a newer configuration requires a snapshot.
+    if (!as_of_ || position_.configuration < message.position.configuration ||
+        (has_new_changes &&
+         position_.upstreams < message.changes_since.upstreams))
         return std::nullopt;
-    // A neighbour with an older position does not confirm the current contents.
-    if (message.position.configuration < position_.configuration ||
-        message.position.upstreams < position_.upstreams)
-        return result;
-    advance_to_read_of(message, now);
     if (has_new_changes)
     {
         result.upstreams_changed =
             apply_changes(message.changes, message.position.upstreams, now);
-        position_ = message.position;
+        position_.upstreams = message.position.upstreams;
     }
+    // The current contents include those of the neighbour, so they are at least
+    // as recent as its read.
+    advance_to_read_of(message, now);
     return result;
 }
 
@@ -111,15 +110,17 @@
                                            core::time_point now)
 {
     change result;
-    if (snapshot.document.empty() ||
-        (as_of_ && (snapshot.position.configuration < position_.configuration ||
-                    snapshot.position.upstreams < position_.upstreams)))
+    if (snapshot.document.empty())
         return result;
     advance_to(requested_at - snapshot.age, now);
-    result.document_changed = apply_document(snapshot.document);
-    result.upstreams_changed = registry_.replace(snapshot.upstreams, now);
-    position_ = snapshot.position;
-    clear_recent_changes();
+    if (snapshot.position.configuration >= position_.configuration)
+    {
+        result.document_changed = apply_document(snapshot.document);
+        position_.configuration = snapshot.position.configuration;
+    }
+    if (snapshot.position.upstreams >= position_.upstreams)
+        replace_upstreams(
+            snapshot.upstreams, snapshot.position.upstreams, now, result);
     return result;
 }
 
@@ -200,6 +201,17 @@
     return any_applied;
 }
 
+void store_replica::replace_upstreams(
+    std::vector<routing::listed_upstream> const& listed,
+    core::log_offset offset,
+    core::time_point now,
+    change& result)
+{
+    result.upstreams_changed = registry_.replace(listed, now);
+    position_.upstreams = offset;
+    clear_recent_changes();
+}
+
 void store_replica::advance_to(core::time_point as_of, core::time_point now)
 {
     if (as_of_ && as_of <= *as_of_)
--- a/kumquatloom/hosting/store_replica.hpp
+++ b/kumquatloom/hosting/store_replica.hpp
@@ -49,7 +49,7 @@
     explicit store_replica(parser parse);
 
     /// Applies the result of an own read of the store that started at `as_of`.
-    /// Ignores it if newer contents have been applied since.
+    /// Ignores the parts of which newer contents have been applied since.
     change
     apply(store_page const& page, core::time_point as_of, core::time_point now);
 
@@ -59,8 +59,9 @@
     std::optional<change> apply(neighbour_message const& message,
                                 core::time_point now);
 
-    /// Applies a neighbour's snapshot unless the current contents are newer.
-    /// `requested_at` is a time before the neighbour created the snapshot.
+    /// Applies the parts of a neighbour's snapshot of which the current
+    /// contents are not newer. `requested_at` is a time before the neighbour
+    /// created the snapshot.
     change apply(replica_snapshot const& snapshot,
                  core::time_point requested_at,
                  core::time_point now);
@@ -112,6 +113,10 @@
     bool apply_changes(std::vector<routing::upstream_change> const& changes,
                        core::log_offset offset,
                        core::time_point now);
+    void replace_upstreams(std::vector<routing::listed_upstream> const& listed,
+                           core::log_offset offset,
+                           core::time_point now,
+                           change& result);
     void advance_to(core::time_point as_of, core::time_point now);
     void advance_to_read_of(neighbour_message const& message,
                             core::time_point now);
--- a/unit_tests/hosting/store_replica_test.cpp
+++ b/unit_tests/hosting/store_replica_test.cpp
@@ -169,6 +169,44 @@
     }
 }
 
+// Guards against instances that learn nothing from each other, and from their
+// own reads, because each has the newer contents of one topic.
+TEST_CASE("the topics of the store are followed independently", "[hosting]")
+{
+    store_replica first(parse);
+    store_replica second(parse);
+    auto const initial = page("1", {listed("a")}, {1, 10});
+    for (auto* const replica : {&first, &second})
+        replica->apply(initial, start, start);
+    first.apply(page("2", {}, {2, 10}), start + 1s, start + 1s);
+    second.apply(page({}, {listed("b")}, {1, 11}), start + 1s, start + 1s);
+    store_position const newest{2, 11};
+
+    SECTION("a message brings new upstreams to an older configuration's holder")
+    {
+        REQUIRE(first.apply(message_of(second, start + 1s), start + 1s));
+        CHECK(first.position() == newest);
+        CHECK(first.upstreams().listing().size() == 2);
+    }
+
+    SECTION("a snapshot brings a new configuration")
+    {
+        CHECK_FALSE(second.apply(message_of(first, start + 1s), start + 1s));
+        second.apply(first.snapshot(start + 1s), start + 1s, start + 1s);
+        CHECK(second.document()->version == 2);
+        CHECK(second.position() == newest);
+        CHECK(second.upstreams().listing().size() == 2);
+    }
+
+    SECTION("an own read that missed the configuration brings new upstreams")
+    {
+        first.apply(page({}, {listed("c")}, {1, 12}), start + 2s, start + 2s);
+        CHECK(first.document()->version == 2);
+        CHECK(first.position() == store_position{2, 12});
+        CHECK(first.upstreams().listing().size() == 2);
+    }
+}
+
 // Guards against instances that confirm each other's contents as fresh, each
 // time slightly fresher, while no instance reads the store. A message's travel
 // time makes a read look later than it was.
