Do not take the time between regular reads for an outage of the store

A few were refused, and one met an upstream that was gone.

Cause: leases also expire while the store is unavailable, so upstreams that disappear around an outage are kept for 2.2 s. An outage was assumed if the contents were renewed more than 1.5 s after the read before. Each such gap started a grace period, in which every removal was put off by up to 2.2 s. Two times that depend on each other were set apart, and a setting changed only one of them.

Change: the schedule states the longest time between two regular reads, and the registry takes an outage to be longer than that. The gap is measured between the reads, without the time that the message took. Schedules are not stretched beyond a bound of 3 s, because leases expire in an outage of 3 s. The log tells a lapsed upstream from a removed one, and says when an outage is assumed.

Test: the slowest regular reads for bounds of 2, 3 and 5 s. With the former threshold the removed upstream stays listed at 3 and 5 s.

--- a/kumquatloom/hosting/hosted_instance.cpp
+++ b/kumquatloom/hosting/hosted_instance.cpp
@@ -152,7 +152,9 @@
         , operators(
               context, state, drain, to_tcp_endpoint(settings.listen.operators))
         , tracker(settings.avoidance_floor)
-        , replica(store.parse)
+        , read_schedule(membership::read_schedule_settings::for_change_delay(
+              settings.max_change_delay))
+        , replica(store.parse, {read_schedule.max_read_gap()})
         , messenger(
               context,
               {settings.listen.neighbours,
@@ -175,8 +177,7 @@
               replica,
               store,
               settings.listen.neighbours.port,
-              membership::read_schedule_settings::for_change_delay(
-                  settings.max_change_delay),
+              read_schedule,
               [this](store_replica::change const& change)
               {
                   publish_change(change);
@@ -515,6 +516,8 @@
     entry::operator_server operators;
     /// Load and health of upstreams.
     upstream_tracker tracker;
+    /// When instances read the store.
+    membership::read_schedule_settings const read_schedule;
     /// Local copy of the store's contents.
     store_replica replica;
     /// Exchange with the other instances of the failure domain.
--- a/kumquatloom/hosting/store_replica.cpp
+++ b/kumquatloom/hosting/store_replica.cpp
@@ -19,11 +19,12 @@
     return std::chrono::ceil<std::chrono::milliseconds>(now - as_of);
 }
 
-void log_change(routing::upstream_change const& change)
+void log_change(routing::upstream_change const& change, bool is_lapsed)
 {
     if (!change.entry)
     {
-        core::log_info("upstream_removed", {{"upstream", change.id.value()}});
+        core::log_info(is_lapsed ? "upstream_lapsed" : "upstream_removed",
+                       {{"upstream", change.id.value()}});
         return;
     }
     auto const& endpoint = change.entry->endpoint;
@@ -38,9 +39,10 @@
 
 } // namespace
 
-store_replica::store_replica(parser parse)
+store_replica::store_replica(
+    parser parse, routing::upstream_registry_settings const& settings)
     : parse_(parse)
-    , registry_({})
+    , registry_(settings)
 {
 }
 
@@ -194,7 +196,7 @@
     for (auto const& item : changes)
         if (registry_.apply(item, now))
         {
-            log_change(item);
+            log_change(item, registry_.is_lapsed(item.id));
             record_change(item, offset);
             any_applied = true;
         }
@@ -216,8 +218,13 @@
 {
     if (as_of_ && as_of <= *as_of_)
         return;
-    if (as_of_)
-        registry_.record_list_read(*as_of_, now);
+    if (as_of_ && registry_.record_list_read(*as_of_, as_of, now))
+        core::log_info("store_outage_ended",
+                       {{"gap_ms",
+                         std::chrono::duration_cast<std::chrono::milliseconds>(
+                             as_of - *as_of_)
+                             .count()},
+                        {"upstreams", registry_.listing().size()}});
     as_of_ = as_of;
 }
 
--- a/kumquatloom/hosting/store_replica.hpp
+++ b/kumquatloom/hosting/store_replica.hpp
@@ -46,7 +46,8 @@
     };
 
     /// Starts empty.
-    explicit store_replica(parser parse);
+    explicit store_replica(
+        parser parse, routing::upstream_registry_settings const& settings = {});
 
     /// Applies the result of an own read of the store that started at `as_of`.
     /// Ignores the parts of which newer contents have been applied since.
--- a/kumquatloom/membership/read_schedule_settings.hpp
+++ b/kumquatloom/membership/read_schedule_settings.hpp
@@ -1,6 +1,7 @@
 #ifndef KUMQUATLOOM_MEMBERSHIP_READ_SCHEDULE_SETTINGS_HPP
 #define KUMQUATLOOM_MEMBERSHIP_READ_SCHEDULE_SETTINGS_HPP
 
+#include <algorithm>
 #include <chrono>
 #include <cstddef>
 
@@ -40,11 +41,24 @@
     /// at least this number waits two or more times the delay.
     std::size_t retry_ranks = 25;
 
+    /// Time that a read takes, and the message about it.
+    std::chrono::milliseconds read_allowance{500};
+
+    /// Longest time between two reads of a store that is available.
+    std::chrono::milliseconds max_read_gap() const
+    {
+        return max_read_age + read_allowance;
+    }
+
     /// Settings for changes that must be in force within `bound`.
     static read_schedule_settings
     for_change_delay(std::chrono::milliseconds bound)
     {
         constexpr std::chrono::milliseconds default_bound{2000};
+        // A longer time between reads could not be told from an outage of the
+        // store in which leases expire.
+        constexpr std::chrono::milliseconds max_bound{3000};
+        bound = std::min(bound, max_bound);
         read_schedule_settings result;
         for (auto* const duration :
              {&result.first_read_age, &result.rank_step, &result.max_read_age})
--- a/kumquatloom/routing/upstream_registry.cpp
+++ b/kumquatloom/routing/upstream_registry.cpp
@@ -10,11 +10,14 @@
 {
 }
 
-void upstream_registry::record_list_read(core::time_point previous,
+bool upstream_registry::record_list_read(core::time_point previous,
+                                         core::time_point read_at,
                                          core::time_point now)
 {
-    if (now - previous > settings_.min_outage)
-        grace_end_ = now + settings_.grace;
+    if (read_at - previous <= settings_.min_outage)
+        return false;
+    grace_end_ = now + settings_.grace;
+    return true;
 }
 
 bool upstream_registry::apply(upstream_change const& change,
@@ -76,6 +79,12 @@
     return result;
 }
 
+bool upstream_registry::is_lapsed(core::upstream_id const& id) const
+{
+    auto const found = upstreams_.find(id);
+    return found != upstreams_.end() && found->second.lapsed;
+}
+
 std::size_t upstream_registry::lapsed_count() const
 {
     std::size_t count = 0;
--- a/kumquatloom/routing/upstream_registry.hpp
+++ b/kumquatloom/routing/upstream_registry.hpp
@@ -22,9 +22,12 @@
 public:
     explicit upstream_registry(upstream_registry_settings const& settings);
 
-    /// Records a successful read of the list; the read before it was at
-    /// `previous`. A long gap between them was an outage.
-    void record_list_read(core::time_point previous, core::time_point now);
+    /// Records that the list was read at `read_at`; the read before it was at
+    /// `previous`. A long gap between them was an outage; returns whether it
+    /// was.
+    bool record_list_read(core::time_point previous,
+                          core::time_point read_at,
+                          core::time_point now);
 
     /// Applies one change. Returns whether it affects routing.
     bool apply(upstream_change const& change, core::time_point now);
@@ -41,6 +44,9 @@
     /// All upstreams, including those that are leaving.
     std::vector<listed_upstream> listing() const;
 
+    /// Whether the lease of an upstream has lapsed and it may still renew it.
+    bool is_lapsed(core::upstream_id const& id) const;
+
     /// Number of upstreams whose leases have lapsed and that may still renew
     /// them.
     std::size_t lapsed_count() const;
--- a/unit_tests/hosting/store_replica_test.cpp
+++ b/unit_tests/hosting/store_replica_test.cpp
@@ -1,6 +1,7 @@
 #include <kumquatloom/hosting/neighbour_message.hpp>
 #include <kumquatloom/hosting/replica_snapshot.hpp>
 #include <kumquatloom/hosting/store_replica.hpp>
+#include <kumquatloom/membership/read_schedule_settings.hpp>
 
 #include <catch2/catch.hpp>
 
@@ -207,6 +208,29 @@
     }
 }
 
+// Guards against requests to upstreams that were removed from the list, because
+// the time between two regular reads passed for an outage of the store.
+TEST_CASE("a removed upstream gets no requests at the slowest regular reads",
+          "[hosting]")
+{
+    auto const bound = GENERATE(2s, 3s, 5s);
+    auto const schedule =
+        membership::read_schedule_settings::for_change_delay(bound);
+    store_replica replica(parse, {schedule.max_read_gap()});
+    routing::upstream_change const removal{core::upstream_id("a"), {}};
+    replica.apply(
+        page("1", {listed("a"), listed("b")}, {1, 10}), start, start + 100ms);
+
+    auto const next_read = start + schedule.max_read_age + 25ms;
+    replica.apply(page({}, {removal}, {1, 11}), next_read, next_read + 200ms);
+
+    CAPTURE(bound.count());
+    CHECK(replica.upstreams().listing().size() == 1);
+    CHECK(replica.upstreams().lapsed_count() == 0);
+    // An outage in which leases expire is longer: two heartbeats of 1.5 s.
+    CHECK(schedule.max_read_gap() < 3s);
+}
+
 // Guards against instances that confirm each other's contents as fresh, each
 // time slightly fresher, while no instance reads the store. A message's travel
 // time makes a read look later than it was.
--- a/unit_tests/routing/upstream_registry_test.cpp
+++ b/unit_tests/routing/upstream_registry_test.cpp
@@ -43,7 +43,7 @@
 TEST_CASE("the registry follows the list", "[routing]")
 {
     upstream_registry registry({});
-    registry.record_list_read(start, start);
+    registry.record_list_read(start, start, start);
     REQUIRE(registry.apply(listed("a"), start));
     REQUIRE(registry.apply(listed("b"), start));
     REQUIRE(registry.listing().size() == 2);
@@ -88,7 +88,7 @@
     SECTION("after an outage of the list")
     {
         auto const outage_end = start + 10s;
-        registry.record_list_read(start, outage_end);
+        registry.record_list_read(start, outage_end, outage_end);
 
         SECTION(
             "an upstream that disappeared is kept until the grace time ends")
