Send a neighbour only the changes that it lacks

Cause: a message holds four changes of the list of upstreams. A small instance can't send that to 24 neighbours within the timeout of 1 s.

A neighbour names its position and gets the changes since then, and the configuration only if it is newer.

Test: 100 changes reach a follower without the configuration, removals included; what is not remembered, and a new configuration, as before.

--- a/kumquatloom/hosting/hosted_instance.cpp
+++ b/kumquatloom/hosting/hosted_instance.cpp
@@ -11,9 +11,10 @@
 #include <kumquatloom/entry/tcp_endpoint.hpp>
 #include <kumquatloom/hosting/hosted_instance.hpp>
 #include <kumquatloom/hosting/neighbour_messenger.hpp>
+#include <kumquatloom/hosting/replica_changes.hpp>
+#include <kumquatloom/hosting/replica_paths.hpp>
 #include <kumquatloom/hosting/replica_snapshot.hpp>
 #include <kumquatloom/hosting/replica_updater.hpp>
-#include <kumquatloom/hosting/snapshot_path.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -191,7 +192,7 @@
                           to_tcp_endpoint(settings.listen.neighbours),
                           [this](std::string_view target)
                           {
-                              return serve_snapshot(target);
+                              return serve_contents(target);
                           })
         , timer(context)
         , signals(context, SIGTERM, SIGINT, SIGHUP)
@@ -434,15 +435,27 @@
         return state.ready && !state.leaving;
     }
 
-    /// Serves a snapshot of the store's contents to a neighbour.
-    entry::http_response serve_snapshot(std::string_view target) const
+    /// Serves the store's contents to a neighbour: a snapshot, or the changes
+    /// since the neighbour's position.
+    entry::http_response serve_contents(std::string_view target) const
     {
-        if (target != snapshot_path || !replica.document())
+        auto const now = core::clock::now();
+        auto const since = parse_changes_target(target);
+        if (!replica.document() || (target != snapshot_path && !since))
             return entry::json_response(http::status::service_unavailable,
                                         "{}");
-        auto snapshot = replica.snapshot(core::clock::now());
-        snapshot.hosts = messenger.neighbours().addresses();
-        auto answer = entry::json_response(http::status::ok, encode(snapshot));
+        std::string body;
+        if (!since)
+        {
+            auto snapshot = replica.snapshot(now);
+            snapshot.hosts = messenger.neighbours().addresses();
+            body = encode(snapshot);
+        }
+        else if (auto changes = replica.changes_since(*since, now))
+            body = encode(*changes);
+        else
+            return entry::json_response(http::status::gone, "{}");
+        auto answer = entry::json_response(http::status::ok, std::move(body));
         answer.set(http::field::content_type, "application/octet-stream");
         return answer;
     }
--- a/kumquatloom/hosting/neighbour_message.hpp
+++ b/kumquatloom/hosting/neighbour_message.hpp
@@ -21,7 +21,7 @@
 /// datagram within the usual path MTU.
 inline constexpr std::size_t max_reports = 96;
 /// Maximum number of upstream list changes in a message. A receiver that has
-/// missed more fetches a snapshot.
+/// missed more fetches them from the sender.
 inline constexpr std::size_t max_changes = 4;
 /// Maximum number of health estimates sent to a new neighbour: twice the
 /// expected number, which is about 30% of one domain's share of a service with
--- a/kumquatloom/hosting/replica_updater.cpp
+++ b/kumquatloom/hosting/replica_updater.cpp
@@ -1,8 +1,9 @@
 #include <kumquatloom/core/logging.hpp>
 #include <kumquatloom/hosting/neighbour_message.hpp>
+#include <kumquatloom/hosting/replica_changes.hpp>
+#include <kumquatloom/hosting/replica_paths.hpp>
 #include <kumquatloom/hosting/replica_snapshot.hpp>
 #include <kumquatloom/hosting/replica_updater.hpp>
-#include <kumquatloom/hosting/snapshot_path.hpp>
 #include <kumquatloom/log_service/http_client.hpp>
 
 #include <boost/asio/co_spawn.hpp>
@@ -18,13 +19,21 @@
 
 namespace asio = boost::asio;
 
-/// Timeout for fetching a snapshot. A neighbour serves it from memory.
-constexpr std::chrono::milliseconds snapshot_timeout{1000};
+/// Timeout for fetching contents. A neighbour serves them from memory.
+constexpr std::chrono::milliseconds fetch_timeout{1000};
 /// Maximum size of a snapshot with a configuration and a list of upstreams of
 /// the largest permitted sizes.
 constexpr std::size_t max_snapshot_bytes = 16 * 1024 * 1024;
 constexpr unsigned status_ok = 200;
 
+log_service::http_client_settings client_settings()
+{
+    log_service::http_client_settings result;
+    result.timeout = fetch_timeout;
+    result.max_body_bytes = max_snapshot_bytes;
+    return result;
+}
+
 } // namespace
 
 replica_updater::replica_updater(
@@ -70,7 +79,7 @@
     {
         fetch_running_ = true;
         asio::co_spawn(
-            context_, fetch_snapshot({host, neighbour_port_}), asio::detached);
+            context_, fetch_contents({host, neighbour_port_}), asio::detached);
     }
 }
 
@@ -128,17 +137,57 @@
     notify(change);
 }
 
+asio::awaitable<void>
+replica_updater::fetch_contents(settings::endpoint neighbour)
+{
+    bool done = false;
+    if (replica_.as_of())
+        done = co_await fetch_changes(neighbour);
+    if (!done)
+        co_await fetch_snapshot(neighbour);
+    fetch_running_ = false;
+}
+
+asio::awaitable<bool>
+replica_updater::fetch_changes(settings::endpoint neighbour)
+{
+    log_service::http_client const client(neighbour, client_settings());
+    auto const target = changes_target(replica_.position());
+    auto const requested_at = core::clock::now();
+    auto const response = co_await client.fetch(target);
+    if (!response)
+    {
+        // A snapshot from the same neighbour would fail as well.
+        core::log_warning("changes_failed",
+                          {{"neighbour", neighbour.host},
+                           {"error", to_string(response.error())}});
+        co_return true;
+    }
+    if (response.value().status != status_ok)
+        co_return false;
+    auto const changes = decode<replica_changes>(response.value().body);
+    if (!changes)
+    {
+        core::log_warning("changes_malformed", {{"neighbour", neighbour.host}});
+        co_return false;
+    }
+    core::log_info("changes_fetched",
+                   {{"neighbour", neighbour.host},
+                    {"age_ms", changes->age.count()},
+                    {"has_document", !changes->document.empty()},
+                    {"changes", changes->upstreams.size()}});
+    contents_received(
+        replica_.apply(*changes, requested_at, core::clock::now()));
+    co_return true;
+}
+
 asio::awaitable<void>
 replica_updater::fetch_snapshot(settings::endpoint neighbour)
 {
-    log_service::http_client_settings client_settings;
-    client_settings.timeout = snapshot_timeout;
-    client_settings.max_body_bytes = max_snapshot_bytes;
-    log_service::http_client const client(neighbour, client_settings);
+    log_service::http_client const client(neighbour, client_settings());
     std::string const path(snapshot_path);
     auto const requested_at = core::clock::now();
     auto const response = co_await client.fetch(path);
-    fetch_running_ = false;
     if (!response || response.value().status != status_ok)
     {
         core::log_warning("snapshot_failed", {{"neighbour", neighbour.host}});
@@ -151,19 +200,25 @@
                           {{"neighbour", neighbour.host}});
         co_return;
     }
+    core::log_info("snapshot_fetched",
+                   {{"neighbour", neighbour.host},
+                    {"age_ms", snapshot->age.count()},
+                    {"upstreams", snapshot->upstreams.size()}});
     auto const change =
         replica_.apply(*snapshot, requested_at, core::clock::now());
-    // A snapshot closes a gap in the history like a complete read does.
+    addresses_received_(snapshot->hosts);
+    contents_received(change);
+}
+
+void replica_updater::contents_received(store_replica::change const& change)
+{
+    // A neighbour's contents close a gap in the history like a complete read
+    // does.
     if (replica_.as_of())
     {
         schedule_.record_read(*replica_.as_of());
         history_lost_ = false;
     }
-    core::log_info("snapshot_fetched",
-                   {{"neighbour", neighbour.host},
-                    {"age_ms", snapshot->age.count()},
-                    {"upstreams", snapshot->upstreams.size()}});
-    addresses_received_(snapshot->hosts);
     notify(change);
 }
 
--- a/kumquatloom/hosting/replica_updater.hpp
+++ b/kumquatloom/hosting/replica_updater.hpp
@@ -43,8 +43,8 @@
     /// for an instance with the given rank.
     void tick(membership::domain_rank const& own_rank, core::time_point now);
 
-    /// Applies a neighbour's message, and fetches a snapshot if changes are
-    /// missing.
+    /// Applies a neighbour's message, and fetches the changes or a snapshot if
+    /// it lacks some.
     void apply_message(std::string const& host,
                        neighbour_message const& message);
 
@@ -66,7 +66,10 @@
 
 private:
     boost::asio::awaitable<void> read_store();
+    boost::asio::awaitable<void> fetch_contents(settings::endpoint neighbour);
+    boost::asio::awaitable<bool> fetch_changes(settings::endpoint neighbour);
     boost::asio::awaitable<void> fetch_snapshot(settings::endpoint neighbour);
+    void contents_received(store_replica::change const& change);
     void read_ended(page_result const& result, core::time_point started_at);
     void log_reachability(bool reachable, log_service::read_error error);
     void notify(store_replica::change const& change);
@@ -79,7 +82,7 @@
     change_handler replica_changed_;
     address_handler addresses_received_;
     membership::read_schedule schedule_;
-    /// Whether a read of the store or a fetch of a snapshot is in progress.
+    /// Whether a read of the store or a fetch from a neighbour is in progress.
     bool read_running_ = false;
     bool fetch_running_ = false;
     /// Whether the last read succeeded.
--- a/kumquatloom/hosting/store_replica.cpp
+++ b/kumquatloom/hosting/store_replica.cpp
@@ -1,5 +1,6 @@
 #include <kumquatloom/core/logging.hpp>
 #include <kumquatloom/hosting/neighbour_message.hpp>
+#include <kumquatloom/hosting/replica_changes.hpp>
 #include <kumquatloom/hosting/replica_snapshot.hpp>
 #include <kumquatloom/hosting/store_replica.hpp>
 
@@ -126,6 +127,27 @@
     return result;
 }
 
+store_replica::change store_replica::apply(replica_changes const& changes,
+                                           core::time_point requested_at,
+                                           core::time_point now)
+{
+    change result;
+    advance_to(requested_at - changes.age, now);
+    if (!changes.document.empty() &&
+        changes.position.configuration >= position_.configuration)
+    {
+        result.document_changed = apply_document(changes.document);
+        position_.configuration = changes.position.configuration;
+    }
+    if (changes.position.upstreams >= position_.upstreams)
+    {
+        result.upstreams_changed =
+            apply_changes(changes.upstreams, changes.position.upstreams, now);
+        position_.upstreams = changes.position.upstreams;
+    }
+    return result;
+}
+
 store_replica::change store_replica::expire(core::time_point now)
 {
     change result;
@@ -144,10 +166,31 @@
     message.own_read_age = std::chrono::milliseconds::zero();
     if (own_reads_ != 0)
         message.own_read_age = age_of(last_own_read_, now);
-    message.changes_since = {position_.configuration, recent_changes_since_};
+    auto const left_out =
+        recent_changes_.size() - std::min(recent_changes_.size(), max_changes);
+    auto const since = left_out == 0 ? recent_changes_since_
+                                     : recent_changes_[left_out - 1].offset;
+    message.changes_since = {position_.configuration, since};
     message.changes.clear();
+    for (auto i = left_out; i < recent_changes_.size(); ++i)
+        message.changes.push_back(recent_changes_[i].change);
+}
+
+std::optional<replica_changes>
+store_replica::changes_since(store_position const& since,
+                             core::time_point now) const
+{
+    if (!as_of_ || since.upstreams < recent_changes_since_)
+        return std::nullopt;
+    replica_changes result;
+    if (since.configuration < position_.configuration)
+        result.document = document_text_;
     for (auto const& item : recent_changes_)
-        message.changes.push_back(item.change);
+        if (item.offset > since.upstreams)
+            result.upstreams.push_back(item.change);
+    result.position = position_;
+    result.age = age_of(*as_of_, now);
+    return result;
 }
 
 replica_snapshot store_replica::snapshot(core::time_point now) const
@@ -243,7 +286,7 @@
                                   core::log_offset offset)
 {
     recent_changes_.push_back({offset, item});
-    while (recent_changes_.size() > max_changes)
+    while (recent_changes_.size() > max_remembered_changes)
     {
         // A neighbour at an earlier position misses the change that is dropped
         // here, and therefore needs a snapshot.
--- a/kumquatloom/hosting/store_replica.hpp
+++ b/kumquatloom/hosting/store_replica.hpp
@@ -22,6 +22,7 @@
 namespace kumquatloom::hosting
 {
 
+struct replica_changes;
 struct replica_snapshot;
 struct neighbour_message;
 
@@ -67,6 +68,12 @@
                  core::time_point requested_at,
                  core::time_point now);
 
+    /// Applies the parts of a neighbour's changes of which the current contents
+    /// are not newer. They must begin at the current position or before it.
+    change apply(replica_changes const& changes,
+                 core::time_point requested_at,
+                 core::time_point now);
+
     /// Drops upstreams that have not renewed their lapsed leases within the
     /// grace period after an outage of the store.
     change expire(core::time_point now);
@@ -77,6 +84,11 @@
     /// The complete contents, without the addresses of instances.
     replica_snapshot snapshot(core::time_point now) const;
 
+    /// What the contents have in addition to those at an earlier position;
+    /// nothing if not all changes since then are remembered.
+    std::optional<replica_changes> changes_since(store_position const& since,
+                                                 core::time_point now) const;
+
     /// The configuration in force, or null.
     boost::intrusive_ptr<document::document> const& document() const
     {
@@ -102,7 +114,7 @@
     }
 
 private:
-    /// A change that is repeated to neighbours in case they missed it.
+    /// A change that is remembered for neighbours that missed it.
     struct recent_change
     {
         /// Offset in the store after the read that returned the change.
--- a/unit_tests/hosting/store_replica_test.cpp
+++ b/unit_tests/hosting/store_replica_test.cpp
@@ -1,4 +1,6 @@
 #include <kumquatloom/hosting/neighbour_message.hpp>
+#include <kumquatloom/hosting/replica_changes.hpp>
+#include <kumquatloom/hosting/replica_paths.hpp>
 #include <kumquatloom/hosting/replica_snapshot.hpp>
 #include <kumquatloom/hosting/store_replica.hpp>
 #include <kumquatloom/membership/read_schedule_settings.hpp>
@@ -154,6 +156,61 @@
                 follower.apply(message_of(reader, start + 1s), start + 1s));
         }
 
+        SECTION("the changes of a release are fetched without the rest")
+        {
+            for (int i = 0; i < 100; ++i)
+                reader.apply(page({},
+                                  {listed("n" + std::to_string(i))},
+                                  {1, 12 + static_cast<unsigned>(i)}),
+                             start + 1s,
+                             start + 1s);
+            auto delta = reader.changes_since(follower.position(), start + 1s);
+            REQUIRE(delta);
+            CHECK(delta->document.empty());
+            auto const decoded = decode<replica_changes>(encode(*delta));
+            REQUIRE(decoded);
+            CHECK(follower.apply(*decoded, start + 1s, start + 1s)
+                      .upstreams_changed);
+            CHECK(follower.position() == reader.position());
+            CHECK(follower.upstreams().listing().size() == 101);
+            CHECK(*follower.as_of() == start + 1s);
+
+            SECTION("a removal among them is not lost")
+            {
+                routing::upstream_change const removal{core::upstream_id("a"),
+                                                       {}};
+                reader.apply(
+                    page({}, {removal}, {1, 112}), start + 2s, start + 2s);
+                auto const next =
+                    reader.changes_since(follower.position(), start + 2s);
+                REQUIRE(next);
+                CHECK(next->upstreams.size() == 1);
+                follower.apply(*next, start + 2s, start + 2s);
+                CHECK(follower.upstreams().listing().size() == 100);
+            }
+        }
+
+        SECTION("changes that are not remembered require a snapshot")
+        {
+            std::vector<routing::upstream_change> many;
+            for (std::size_t i = 0; i <= max_remembered_changes; ++i)
+                many.push_back(listed("n" + std::to_string(i)));
+            reader.apply(page({}, many, {1, 700}), start + 1s, start + 1s);
+            CHECK_FALSE(reader.changes_since(follower.position(), start + 1s));
+        }
+
+        SECTION("a new configuration is fetched with the changes")
+        {
+            reader.apply(
+                page("2", {listed("b")}, {2, 11}), start + 1s, start + 1s);
+            auto const delta =
+                reader.changes_since(follower.position(), start + 1s);
+            REQUIRE(delta);
+            CHECK(follower.apply(*delta, start + 1s, start + 1s)
+                      .document_changed);
+            CHECK(follower.position() == reader.position());
+        }
+
         SECTION("a new configuration requires a snapshot")
         {
             reader.apply(page("2", {}, {2, 10}), start + 1s, start + 1s);
@@ -309,3 +366,17 @@
     message.version = 1;
     CHECK(encode(message).empty());
 }
+
+// Guards against a neighbour's request that is taken for another position.
+TEST_CASE("the target of a request for changes holds the position", "[hosting]")
+{
+    store_position const position{7, 4711};
+    CHECK(parse_changes_target(changes_target(position)) == position);
+    auto const other = GENERATE(std::string("/snapshot"),
+                                std::string("/changes/7"),
+                                std::string("/changes/7/"),
+                                std::string("/changes//4711"),
+                                std::string("/changes/7/4711/"),
+                                std::string("/changes/-1/4711"));
+    CHECK_FALSE(parse_changes_target(other));
+}
