Read every body with a limit that includes its framing

The same class elsewhere: an answer of the store or of a neighbour, or a request of an operator, a caller or a client of the directory, that never ends.

Evidence: new tests.

Change: one function, read_body(), for upstreams, callers and the client of the store; it counts the framing of a chunked body against the limit.

--- a/kumquatloom/entry/caller_session.cpp
+++ b/kumquatloom/entry/caller_session.cpp
@@ -3,6 +3,7 @@
 #include <kumquatloom/entry/inbound_request.hpp>
 #include <kumquatloom/entry/instance_state.hpp>
 #include <kumquatloom/entry/proxy_handler.hpp>
+#include <kumquatloom/log_service/read_body.hpp>
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
@@ -176,9 +177,12 @@
         if (!connected)
             co_return false;
         stream_.expires_after(bounds.header_timeout);
-        auto const [body_error, body_size] =
-            co_await http::async_read(stream_, buffer_, parser, as_result);
-        error = body_error;
+        auto const accept_all = []
+        {
+            return true;
+        };
+        error = co_await log_service::read_body(
+            stream_, buffer_, parser, bounds.body_bytes, accept_all);
     }
     if (error)
         co_await refuse(error, parser);
--- a/kumquatloom/entry/upstream_exchange.cpp
+++ b/kumquatloom/entry/upstream_exchange.cpp
@@ -5,6 +5,7 @@
 #include <kumquatloom/entry/instance_state.hpp>
 #include <kumquatloom/entry/keep_alive_timeout.hpp>
 #include <kumquatloom/entry/upstream_exchange.hpp>
+#include <kumquatloom/log_service/read_body.hpp>
 #include <kumquatloom/request/content_digest.hpp>
 #include <kumquatloom/request/response_check.hpp>
 
@@ -30,8 +31,6 @@
 constexpr unsigned max_stray_responses = 4;
 /// Largest header of an upstream's response.
 constexpr std::uint32_t response_header_limit = 64 * 1024;
-/// Allowance for the chunk headers and trailers of a body of the maximum size.
-constexpr std::size_t framing_allowance = 64 * 1024;
 
 /// Generates a globally unique request id: a random number for the process and
 /// a sequence number for the attempt.
@@ -203,20 +202,18 @@
     auto const length = parser.content_length();
     if (length && !parser.is_done() && !result_.memory.grow_to(*length))
         co_return fail(exchange_status::answer_too_large);
-    auto const limit = state_.settings.upstreams.answer_limit_bytes;
-    std::size_t received = 0;
-    while (!parser.is_done())
+    auto const reserve_memory = [&]
     {
-        auto const [error, size] = co_await http::async_read_some(
-            connection.stream(), connection.buffer(), parser, as_result);
-        if (error)
-            co_return fail(error);
-        auto const& body = parser.get().body();
-        received += size;
-        if (received > limit + framing_allowance ||
-            !result_.memory.grow_to(body.capacity()))
-            co_return fail(exchange_status::answer_too_large);
-    }
+        return result_.memory.grow_to(parser.get().body().capacity());
+    };
+    auto const error = co_await log_service::read_body(
+        connection.stream(),
+        connection.buffer(),
+        parser,
+        state_.settings.upstreams.answer_limit_bytes,
+        reserve_memory);
+    if (error)
+        co_return fail(error);
     co_return true;
 }
 
--- a/kumquatloom/log_service/http_client.cpp
+++ b/kumquatloom/log_service/http_client.cpp
@@ -1,5 +1,5 @@
 #include <kumquatloom/log_service/http_client.hpp>
-#include <kumquatloom/log_service/receive_buffer.hpp>
+#include <kumquatloom/log_service/read_body.hpp>
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/ip/address.hpp>
@@ -116,10 +116,18 @@
     http::response_parser<http::string_body> parser;
     parser.header_limit(max_header_bytes);
     parser.body_limit(max_body_bytes);
-    auto [response_error, received] =
-        co_await http::async_read(stream, buffer, parser, no_throw);
-    if (response_error)
-        co_return to_http_error(response_error);
+    auto [header_error, received] =
+        co_await http::async_read_header(stream, buffer, parser, no_throw);
+    if (header_error)
+        co_return to_http_error(header_error);
+    auto const accept_all = []
+    {
+        return true;
+    };
+    auto const body_error =
+        co_await read_body(stream, buffer, parser, max_body_bytes, accept_all);
+    if (body_error)
+        co_return to_http_error(body_error);
     http_response response;
     response.status = parser.get().result_int();
     response.body = std::move(parser.get().body());
--- a/unit_tests/entry/hostile_caller_test.cpp
+++ b/unit_tests/entry/hostile_caller_test.cpp
@@ -109,3 +109,32 @@
         CHECK(caller.receive()->result_int() == 200);
     }
 }
+
+// Guards against memory exhaustion by a caller, an operator or a client of the
+// directory whose request never ends.
+TEST_CASE("an endless request is cut off", "[entry]")
+{
+    entry_fixture fixture;
+    auto& upstream = fixture.add_upstream(respond_completely);
+    fixture.start();
+    auto const& instance = fixture.instance();
+    auto const port =
+        GENERATE(std::string("callers"), std::string("operators"));
+    raw_caller caller(port == "callers" ? instance.callers_port()
+                                        : instance.operators_port());
+    auto const before = head("Transfer-Encoding: chunked\r\n") +
+                        GENERATE(std::string(),
+                                 std::string("5;"),
+                                 std::string("0;"),
+                                 std::string("1\r\nx\r\n0\r\nX: "));
+    // Nothing of a request without end reaches an upstream.
+    std::string const unit(64 * 1024, '0');
+    CHECK(caller.send_until_closed(before, unit) < 16U * 1024 * 1024);
+    CHECK(upstream.executions() == 0);
+
+    SECTION("in its header")
+    {
+        raw_caller other(instance.callers_port());
+        CHECK(other.send_until_closed("POST /", unit) < 16U * 1024 * 1024);
+    }
+}
--- a/unit_tests/entry/raw_caller.cpp
+++ b/unit_tests/entry/raw_caller.cpp
@@ -43,6 +43,16 @@
     asio::write(socket_, asio::buffer(bytes), ignored);
 }
 
+std::size_t raw_caller::send_until_closed(std::string_view before,
+                                          std::string_view unit)
+{
+    boost::system::error_code error;
+    auto sent = asio::write(socket_, asio::buffer(before), error);
+    while (!error)
+        sent += asio::write(socket_, asio::buffer(unit), error);
+    return sent;
+}
+
 std::optional<received_response> raw_caller::receive(bool without_body)
 {
     http::response_parser<http::string_body> parser;
--- a/unit_tests/entry/raw_caller.hpp
+++ b/unit_tests/entry/raw_caller.hpp
@@ -33,6 +33,11 @@
 
     void send(std::string_view bytes);
 
+    /// Sends `before`, and `unit` again and again until the peer has closed the
+    /// connection. Returns the number of bytes sent.
+    std::size_t send_until_closed(std::string_view before,
+                                  std::string_view unit);
+
     /// Reads one complete response; empty if the connection ends before.
     /// `without_body` is for responses to HEAD.
     std::optional<received_response> receive(bool without_body = false);
