Test that callers are served while responses to others never end

Eight callers at a time get a response of which one part never ends, for 21 parts, from three upstreams that all do this; ten other requests are sent meanwhile.

--- a/unit_tests/platform/endless_response_test.cpp
+++ b/unit_tests/platform/endless_response_test.cpp
@@ -1,6 +1,8 @@
 #include <catch2/catch.hpp>
 
+#include <atomic>
 #include <string>
+#include <thread>
 #include <unit_tests/entry/endless_response.hpp>
 #include <unit_tests/platform/platform_fixture.hpp>
 #include <vector>
@@ -71,3 +73,61 @@
         CHECK(next->body() == "done");
     }
 }
+
+// Guards against callers that wait because the responses to others never end.
+TEST_CASE("other callers are served while responses never end", "[platform]")
+{
+    constexpr int endless_callers = 8;
+    constexpr int other_requests = 10;
+    auto const responses = platform_endless_responses("");
+    platform_fixture fixture;
+    fixture.settings.memory_bytes = std::size_t{160} * 1024 * 1024;
+    std::vector<raw_upstream*> upstreams;
+    for (int number = 0; number < 3; ++number)
+        upstreams.push_back(&fixture.add_upstream(
+            [&](received_request const& request)
+            {
+                if (!request.target().starts_with("/order/endless/"))
+                    return raw_reply{platform_response(request, "done")};
+                auto const index = std::stoul(std::string(
+                    request.target().substr(sizeof("/order/endless"))));
+                auto const response =
+                    platform_endless_responses(request["Request-Id"])[index];
+                raw_reply reply;
+                reply.bytes = response.before;
+                reply.endless = response.unit;
+                return reply;
+            }));
+    fixture.start_ready();
+    for (std::size_t index = 0; index < responses.size(); ++index)
+    {
+        CAPTURE(responses[index].part);
+        auto const target = "/order/endless/" + std::to_string(index);
+        std::atomic<int> failures{0};
+        std::vector<std::thread> callers;
+        for (int number = 0; number < endless_callers; ++number)
+            callers.emplace_back(
+                [&]
+                {
+                    auto const response = fixture.exchange(
+                        platform_request("POST", target, "kit", 3000));
+                    failures += response && response->result_int() == 502;
+                });
+        int served = 0;
+        for (int number = 0; number < other_requests; ++number)
+        {
+            auto const response =
+                fixture.exchange(platform_request("POST", "/order/1", "kit"));
+            served += response && response->result_int() == 200;
+        }
+        for (auto& caller : callers)
+            caller.join();
+        CHECK(served == other_requests);
+        CHECK(failures == endless_callers);
+    }
+    std::uint64_t endless_bytes = 0;
+    for (auto const* const upstream : upstreams)
+        endless_bytes += upstream->endless_bytes();
+    CHECK(endless_bytes < responses.size() * endless_callers *
+                              (answer_limit_bytes + kernel_buffers_bytes));
+}
