Report each upstream's evidence if there is too much for one message

Cause: a message to the neighbours holds 96 reports. The first 96 upstreams in the order of the table were reported, so that neighbours never heard of failures at the others.

Change: the most significant reports are kept, as in the reports between failure domains, and evidence that is left out stays pending and grows. The reply to a starting instance has the highest estimates.

--- a/kumquatloom/hosting/domain_relay.cpp
+++ b/kumquatloom/hosting/domain_relay.cpp
@@ -91,21 +91,7 @@
         item.upstream = upstream;
         result.reports.push_back(item);
     }
-    if (result.reports.size() > max_reported_upstreams)
-    {
-        // Keep the upstreams with the highest sums of load and absolute
-        // evidence.
-        std::nth_element(
-            result.reports.begin(),
-            result.reports.begin() + max_reported_upstreams,
-            result.reports.end(),
-            [](upstream_report const& left, upstream_report const& right)
-            {
-                return left.in_flight + std::abs(left.evidence) >
-                       right.in_flight + std::abs(right.evidence);
-            });
-        result.reports.resize(max_reported_upstreams);
-    }
+    keep_most_significant(result.reports, max_reported_upstreams);
     return result;
 }
 
--- a/kumquatloom/hosting/upstream_report.hpp
+++ b/kumquatloom/hosting/upstream_report.hpp
@@ -1,7 +1,9 @@
 #ifndef KUMQUATLOOM_HOSTING_UPSTREAM_REPORT_HPP
 #define KUMQUATLOOM_HOSTING_UPSTREAM_REPORT_HPP
 
+#include <cstddef>
 #include <cstdint>
+#include <vector>
 
 namespace kumquatloom::hosting
 {
@@ -26,6 +28,12 @@
     }
 };
 
+/// Keeps at most `count` reports, those with the highest sums of load and
+/// absolute evidence. Evidence that is left out accumulates, so each upstream
+/// has its turn.
+void keep_most_significant(std::vector<upstream_report>& reports,
+                           std::size_t count);
+
 } // namespace kumquatloom::hosting
 
 #endif
--- a/kumquatloom/hosting/upstream_tracker.cpp
+++ b/kumquatloom/hosting/upstream_tracker.cpp
@@ -154,11 +154,19 @@
     {
         auto const log_odds =
             item.estimates->avoided_log_odds(item.object->endpoint().id, now);
-        if (log_odds && result.size() < max_estimates)
+        if (log_odds)
             result.push_back({hash,
                               static_cast<std::int16_t>(
                                   std::lround(*log_odds * log_odds_scale))});
     }
+    // The highest estimates are certain for the longest time.
+    std::sort(result.begin(),
+              result.end(),
+              [](upstream_estimate const& left, upstream_estimate const& right)
+              {
+                  return left.log_odds > right.log_odds;
+              });
+    result.resize(std::min(result.size(), max_estimates));
     return result;
 }
 
@@ -225,7 +233,7 @@
         bool const has_evidence =
             std::abs(item.pending_evidence) >= min_reported_evidence;
         item.reported_in_flight = in_flight;
-        if ((in_flight == 0 && !has_evidence) || reports.size() >= max_reports)
+        if (in_flight == 0 && !has_evidence)
             continue;
         upstream_report report;
         report.upstream = hash;
@@ -233,9 +241,11 @@
         report.evidence = static_cast<std::int16_t>(std::lround(
             std::clamp(item.pending_evidence, -max_evidence, max_evidence) *
             log_odds_scale));
-        item.pending_evidence = 0;
         reports.push_back(report);
     }
+    keep_most_significant(reports, max_reports);
+    for (auto const& report : reports)
+        upstreams_.at(report.upstream).pending_evidence = 0;
     has_urgent_evidence_ = false;
     return reports;
 }
@@ -247,9 +257,10 @@
     {
         auto const in_flight =
             std::min(item.object->in_flight(), max_in_flight);
-        if (in_flight != 0 && reports.size() < max_reports)
+        if (in_flight != 0)
             reports.push_back({hash, static_cast<std::uint8_t>(in_flight), 0});
     }
+    keep_most_significant(reports, max_reports);
     return reports;
 }
 
