--- a/kumquatloom/entry/upstream_exchange.cpp
+++ b/kumquatloom/entry/upstream_exchange.cpp
@@ -86,20 +86,20 @@
     state_.events.increment(entry_event::attempt_started);
     bool const repeatable =
         task_.attempts.repeat() == request::idempotency::idempotent;
-    bool is_fresh = false;
-    while (!is_fresh)
+    bool done = false;
+    while (!done)
     {
         auto lease = co_await pool.acquire(
             task_.cancel,
             task_.until.at(),
             repeatable ? core::duration::max()
                        : state_.policy.max_idle_non_idempotent);
-        // A refusal of the same request that is written again could not be
-        // told from a new one.
-        is_fresh = !lease || !lease.value().connection().has_refused(id_);
+        // On a connection that has refused this request, the same refusal could
+        // be written again and be taken for a new one. It is closed.
+        done = !lease || !lease.value().connection().has_refused(id_);
         if (!lease)
             fail(lease.error());
-        else if (is_fresh)
+        else if (done)
             co_await exchange(lease.value());
     }
     if (task_.cancel.requested())
--- a/kumquatloom/hosting/replica_updater.hpp
+++ b/kumquatloom/hosting/replica_updater.hpp
@@ -67,6 +67,8 @@
 private:
     boost::asio::awaitable<void> read_store();
     boost::asio::awaitable<void> fetch_contents(settings::endpoint neighbour);
+    /// Returns false if the neighbour can't serve the changes, and a snapshot
+    /// is needed instead.
     boost::asio::awaitable<bool> fetch_changes(settings::endpoint neighbour);
     boost::asio::awaitable<void> fetch_snapshot(settings::endpoint neighbour);
     void contents_received(store_replica::change const& change);
--- a/kumquatloom/log_service/read_body.hpp
+++ b/kumquatloom/log_service/read_body.hpp
@@ -29,7 +29,7 @@
           AcceptPart accept_part)
 {
     namespace http = boost::beast::http;
-    /// Chunk headers and trailers of a body of the maximum size.
+    // Chunk headers and trailers of a body of the maximum size.
     constexpr std::size_t framing_allowance = 64 * 1024;
     constexpr auto as_result =
         boost::asio::as_tuple(boost::asio::use_awaitable);
