--- a/kumquatloom/log_service/read_body.hpp
+++ b/kumquatloom/log_service/read_body.hpp
@@ -16,10 +16,9 @@
 namespace kumquatloom::log_service
 {
 
-/// Reads the rest of a message after its header. `limit` is the maximum size of
-/// the body; with an allowance it also applies to the body with its framing,
-/// which the parser does not limit. Calls `accept_part` after each read, and
-/// fails with http::error::body_limit if it returns false.
+/// Reads the rest of a message after its header. Fails with body_limit if the
+/// body with its framing exceeds `limit` and an allowance, or if `accept_part`,
+/// which is called after each read, returns false.
 template <typename Stream, typename Parser, std::predicate AcceptPart>
 boost::asio::awaitable<boost::system::error_code>
 read_body(Stream& stream,
--- a/kumquatloom/log_service/receive_buffer.hpp
+++ b/kumquatloom/log_service/receive_buffer.hpp
@@ -8,10 +8,9 @@
 namespace kumquatloom::log_service
 {
 
-/// Received bytes that the HTTP parser has not consumed yet. The parser
-/// consumes a header, the header of a chunk and a trailer only as a whole, and
-/// limits the size of the first one alone; a read that would exceed the size of
-/// this buffer fails.
+/// Received bytes that the HTTP parser has not consumed yet. It consumes chunk
+/// headers and trailers as a whole and does not limit their size, so the buffer
+/// does: a read that would exceed it fails.
 class receive_buffer : public boost::beast::flat_buffer
 {
 public:
--- a/unit_tests/entry/endless_response.cpp
+++ b/unit_tests/entry/endless_response.cpp
@@ -36,4 +36,12 @@
     };
 }
 
+raw_reply to_reply(endless_response const& response)
+{
+    raw_reply reply;
+    reply.bytes = response.before;
+    reply.endless = response.unit;
+    return reply;
+}
+
 } // namespace kumquatloom::unit_tests
--- a/unit_tests/entry/endless_response.hpp
+++ b/unit_tests/entry/endless_response.hpp
@@ -2,6 +2,7 @@
 #define KUMQUATLOOM_UNIT_TESTS_ENTRY_ENDLESS_RESPONSE_HPP
 
 #include <string>
+#include <unit_tests/entry/raw_upstream.hpp>
 #include <vector>
 
 namespace kumquatloom::unit_tests
@@ -22,6 +23,9 @@
 /// size. `fields` are header fields that identify a response as valid.
 std::vector<endless_response> endless_responses(std::string const& fields);
 
+/// The reply of an upstream that sends the response.
+raw_reply to_reply(endless_response const& response);
+
 } // namespace kumquatloom::unit_tests
 
 #endif
--- a/unit_tests/entry/endless_response_test.cpp
+++ b/unit_tests/entry/endless_response_test.cpp
@@ -32,12 +32,8 @@
         {
             if (request.target() != "/endless")
                 return raw_reply{complete_response(request, "done")};
-            auto const response =
-                endless_responses(identifying_fields(request))[index];
-            raw_reply reply;
-            reply.bytes = response.before;
-            reply.endless = response.unit;
-            return reply;
+            return to_reply(
+                endless_responses(identifying_fields(request))[index]);
         });
     fixture.start();
 
--- a/unit_tests/entry/hostile_caller_test.cpp
+++ b/unit_tests/entry/hostile_caller_test.cpp
@@ -110,8 +110,7 @@
     }
 }
 
-// Guards against memory exhaustion by a caller, an operator or a client of the
-// directory whose request never ends.
+// Guards against memory exhaustion by a caller or an operator.
 TEST_CASE("an endless request is cut off", "[entry]")
 {
     entry_fixture fixture;
--- a/unit_tests/hosting/store_replica_test.cpp
+++ b/unit_tests/hosting/store_replica_test.cpp
@@ -227,8 +227,7 @@
     }
 }
 
-// Guards against instances that learn nothing from each other, and from their
-// own reads, because each has the newer contents of one topic.
+// Guards against instances that ignore newer contents of one topic.
 TEST_CASE("the topics of the store are followed independently", "[hosting]")
 {
     store_replica first(parse);
@@ -265,8 +264,7 @@
     }
 }
 
-// Guards against requests to upstreams that were removed from the list, because
-// the time between two regular reads passed for an outage of the store.
+// Guards against a gap between regular reads that passes for an outage.
 TEST_CASE("a removed upstream gets no requests at the slowest regular reads",
           "[hosting]")
 {
@@ -367,7 +365,6 @@
     CHECK(encode(message).empty());
 }
 
-// Guards against a neighbour's request that is taken for another position.
 TEST_CASE("the target of a request for changes holds the position", "[hosting]")
 {
     store_position const position{7, 4711};
--- a/unit_tests/hosting/upstream_tracker_test.cpp
+++ b/unit_tests/hosting/upstream_tracker_test.cpp
@@ -35,8 +35,7 @@
 
 } // namespace
 
-// Guards against neighbours that never hear of failures at some upstreams,
-// because a message holds the reports on others.
+// Guards against neighbours that never hear of failures at some upstreams.
 TEST_CASE("evidence on each upstream is reported if there is too much for one "
           "message",
           "[hosting]")
--- a/unit_tests/log_service/endless_answer_test.cpp
+++ b/unit_tests/log_service/endless_answer_test.cpp
@@ -48,8 +48,7 @@
 
 } // namespace
 
-// Guards against memory exhaustion by an answer of the store, or of another
-// instance, that never ends.
+// Guards against memory exhaustion by the store or another instance.
 TEST_CASE("an endless answer of a server is cut off", "[log_service]")
 {
     auto const responses = endless_responses("");
@@ -58,10 +57,7 @@
     raw_upstream server(
         [&](received_request const&)
         {
-            raw_reply reply;
-            reply.bytes = endless.before;
-            reply.endless = endless.unit;
-            return reply;
+            return to_reply(endless);
         });
 
     DYNAMIC_SECTION(endless.part)
--- a/unit_tests/platform/cut_head_test.cpp
+++ b/unit_tests/platform/cut_head_test.cpp
@@ -18,8 +18,7 @@
 
 } // namespace
 
-// Guards against a success with an empty or short body, when an upstream ends
-// the connection in the middle of the head of its response.
+// Guards against a success with an empty or short body.
 TEST_CASE("a head that is cut anywhere yields no success", "[platform]")
 {
     auto const framing = GENERATE(std::string(),
--- a/unit_tests/platform/endless_response_test.cpp
+++ b/unit_tests/platform/endless_response_test.cpp
@@ -36,7 +36,7 @@
 
 } // namespace
 
-// Guards against memory exhaustion by an upstream whose response never ends.
+// Guards against memory exhaustion by an upstream.
 TEST_CASE("an endless response of a platform's upstream is cut off",
           "[platform]")
 {
@@ -49,12 +49,8 @@
         {
             if (request.target() != "/order/endless")
                 return raw_reply{platform_response(request, "done")};
-            auto const response =
-                platform_endless_responses(request["Request-Id"])[index];
-            raw_reply reply;
-            reply.bytes = response.before;
-            reply.endless = response.unit;
-            return reply;
+            return to_reply(
+                platform_endless_responses(request["Request-Id"])[index]);
         });
     fixture.start_ready();
 
@@ -91,12 +87,8 @@
                     return raw_reply{platform_response(request, "done")};
                 auto const index = std::stoul(std::string(
                     request.target().substr(sizeof("/order/endless"))));
-                auto const response =
-                    platform_endless_responses(request["Request-Id"])[index];
-                raw_reply reply;
-                reply.bytes = response.before;
-                reply.endless = response.unit;
-                return reply;
+                return to_reply(
+                    platform_endless_responses(request["Request-Id"])[index]);
             }));
     fixture.start_ready();
     for (std::size_t index = 0; index < responses.size(); ++index)
--- a/unit_tests/platform/repeated_refusal_test.cpp
+++ b/unit_tests/platform/repeated_refusal_test.cpp
@@ -23,8 +23,7 @@
 
 } // namespace
 
-// Guards against a request that runs although its caller was told that it did
-// not, because an earlier refusal was written again on a kept connection.
+// Guards against a request that runs after its caller was told that it did not.
 TEST_CASE("a refusal that is written twice refutes no later request",
           "[platform]")
 {
@@ -69,8 +68,7 @@
     }
 }
 
-// Guards against a connection that is given up after each refusal of an
-// overloaded upstream, which would cost it a handshake for each.
+// Guards against a handshake for each refusal of an overloaded upstream.
 TEST_CASE("a connection is kept after a refusal", "[platform]")
 {
     platform_fixture fixture;
--- a/unit_tests/routing/trial_order_test.cpp
+++ b/unit_tests/routing/trial_order_test.cpp
@@ -40,8 +40,7 @@
 
 } // namespace
 
-// Guards against recovered upstreams that stay out of service because others
-// receive all trial requests.
+// Guards against recovered upstreams that stay out of service.
 TEST_CASE("avoided upstreams take turns when few requests may be trials",
           "[routing]")
 {
