--- a/unit_tests/hosting/store_replica_test.cpp
+++ b/unit_tests/hosting/store_replica_test.cpp
@@ -377,3 +377,21 @@
                                 std::string("/changes/-1/4711"));
     CHECK_FALSE(parse_changes_target(other));
 }
+
+// Guards against removed upstreams that a follower keeps for good.
+TEST_CASE("a lapsed upstream in a snapshot is dropped after the grace time",
+          "[hosting]")
+{
+    store_replica reader(parse);
+    store_replica follower(parse);
+    routing::upstream_change const removal{core::upstream_id("a"), {}};
+    reader.apply(page("1", {listed("a"), listed("b")}, {1, 10}), start, start);
+    auto const outage_end = start + 10s;
+    reader.apply(page({}, {removal}, {1, 11}), outage_end, outage_end);
+    REQUIRE(reader.upstreams().lapsed_count() == 1);
+
+    follower.apply(reader.snapshot(outage_end), outage_end, outage_end);
+    follower.expire(outage_end + 3s);
+
+    CHECK(follower.upstreams().listing().size() == 1);
+}
