Choose the less used of two random upstreams

Change: balancing_policy::least_used draws two distinct candidates and takes the less used one. The former policy stays as least_used_of_all for comparison.

--- a/kumquatloom/routing/balancing_policy.hpp
+++ b/kumquatloom/routing/balancing_policy.hpp
@@ -15,10 +15,15 @@
     load_and_latency,
     /// Two random choices: the one with fewer attempts in flight.
     load,
-    /// The upstream with the lowest slot utilisation. Only for instances that
-    /// know most of the load from other instances; with little knowledge of it,
-    /// all instances would choose the same upstream.
-    least_used
+    /// Two random choices: the one with the lower slot utilisation. Instances
+    /// that choose between two load reports choose different upstreams.
+    least_used,
+    /// The upstream with the lowest slot utilisation; for comparison only. All
+    /// instances that choose between two load reports choose the same upstream.
+    least_used_of_all,
+    /// A random upstream, with a probability proportional to its free slots;
+    /// for comparison only.
+    free_slots
 };
 
 } // namespace kumquatloom::routing
--- a/kumquatloom/routing/picker.cpp
+++ b/kumquatloom/routing/picker.cpp
@@ -95,9 +95,9 @@
 /// Returns the candidate with the lowest slot utilisation, a random one if
 /// several are equal.
 boost::intrusive_ptr<upstream> const&
-least_used(candidate_list const& candidates,
-           random_sequence& random,
-           core::time_point now)
+least_used_of_all(candidate_list const& candidates,
+                  random_sequence& random,
+                  core::time_point now)
 {
     std::size_t best = 0;
     double lowest_utilisation = 0;
@@ -138,6 +138,43 @@
                : second;
 }
 
+/// Returns the one of two random candidates that has the lower slot
+/// utilisation.
+boost::intrusive_ptr<upstream> const&
+less_used_of_two(candidate_list const& candidates,
+                 random_sequence& random,
+                 core::time_point now)
+{
+    auto const count = candidates.size();
+    auto const index = random.below(count);
+    auto const& first = *candidates[index];
+    if (count == 1)
+        return first;
+    auto const& second =
+        *candidates[(index + 1 + random.below(count - 1)) % count];
+    return first->utilisation(now) <= second->utilisation(now) ? first : second;
+}
+
+/// Returns a random candidate, with a probability proportional to its free
+/// slots.
+boost::intrusive_ptr<upstream> const&
+draw_by_free_slots(candidate_list const& candidates,
+                   random_sequence& random,
+                   core::time_point now)
+{
+    double total = 0;
+    for (auto const* const candidate : candidates)
+        total += (*candidate)->free_slots(now);
+    double remaining = random.fraction() * total;
+    for (auto const* const candidate : candidates)
+    {
+        remaining -= (*candidate)->free_slots(now);
+        if (remaining < 0)
+            return *candidate;
+    }
+    return *candidates.back();
+}
+
 /// Returns the candidate that the policy prefers.
 boost::intrusive_ptr<upstream> const&
 choose_by_policy(candidate_list const& candidates,
@@ -145,9 +182,19 @@
                  balancing_policy policy,
                  core::time_point now)
 {
-    return policy == balancing_policy::least_used
-               ? least_used(candidates, random, now)
-               : cheaper_of_two(candidates, random, policy, now);
+    switch (policy)
+    {
+    case balancing_policy::least_used:
+        return less_used_of_two(candidates, random, now);
+    case balancing_policy::least_used_of_all:
+        return least_used_of_all(candidates, random, now);
+    case balancing_policy::free_slots:
+        return draw_by_free_slots(candidates, random, now);
+    case balancing_policy::load:
+    case balancing_policy::load_and_latency:
+        break;
+    }
+    return cheaper_of_two(candidates, random, policy, now);
 }
 
 /// Whether the known utilisation of an upstream in another failure domain or
@@ -270,6 +317,25 @@
                                                : pick_error::all_tried);
 }
 
+core::time_point picker::available_at(core::time_point now) const
+{
+    auto result = core::time_point::max();
+    auto const table = table_.read();
+    if (!table)
+        return result;
+    for (auto const& [object, distance] : table->entries())
+    {
+        auto const standing = object->standing(now);
+        if (standing == health::upstream_standing::leaving ||
+            standing == health::upstream_standing::ejected)
+            continue;
+        if (!object->is_held(now))
+            return now;
+        result = std::min(result, object->held_until());
+    }
+    return result;
+}
+
 void picker::finish_attempt(pick const& chosen,
                             health::attempt_report const& report,
                             [[maybe_unused]] core::time_point now)
--- a/kumquatloom/routing/picker.hpp
+++ b/kumquatloom/routing/picker.hpp
@@ -42,6 +42,10 @@
     core::result<pick, pick_error> choose(pick_request const& request,
                                           core::time_point now);
 
+    /// When an upstream that may receive requests is not held: `now` if there
+    /// is one, and the end of the clock if no upstream may receive requests.
+    core::time_point available_at(core::time_point now) const;
+
     /// Ends the attempt of a pick and records its result.
     void finish_attempt(pick const& chosen,
                         health::attempt_report const& report,
--- a/kumquatloom/routing/upstream.cpp
+++ b/kumquatloom/routing/upstream.cpp
@@ -25,6 +25,8 @@
 /// latency.
 constexpr double min_success_rate = 0.1;
 constexpr double weight_scale = 1000;
+/// Lower bound of the number of free slots that a draw is weighted with.
+constexpr double min_free_slots = 0.1;
 
 core::duration::rep ticks(core::time_point time)
 {
@@ -51,6 +53,16 @@
     reported_at_.store(ticks(now), std::memory_order_relaxed);
 }
 
+void upstream::hold_until(core::time_point until)
+{
+    auto current = held_until_.load(std::memory_order_relaxed);
+    while (current < ticks(until) &&
+           !held_until_.compare_exchange_weak(
+               current, ticks(until), std::memory_order_relaxed))
+    {
+    }
+}
+
 void upstream::publish(health::standing_decision const& decision,
                        core::time_point lease_expiry)
 {
@@ -84,7 +96,8 @@
 
 bool upstream::has_free_slot(core::time_point now) const
 {
-    if (in_flight() >= concurrency_limit_.load(std::memory_order_relaxed) ||
+    if (is_held(now) ||
+        in_flight() >= concurrency_limit_.load(std::memory_order_relaxed) ||
         known_in_flight() >= endpoint_.slots)
         return false;
     if (reported_load_.load(std::memory_order_relaxed) < endpoint_.slots)
@@ -116,6 +129,12 @@
     return known_in_flight() / slots;
 }
 
+double upstream::free_slots(core::time_point now) const
+{
+    return std::max(endpoint_.slots * weight(now) - known_in_flight(),
+                    min_free_slots);
+}
+
 double upstream::cost(double fallback) const
 {
     double const latency = latency_seconds();
--- a/kumquatloom/routing/upstream.hpp
+++ b/kumquatloom/routing/upstream.hpp
@@ -65,6 +65,11 @@
     /// upstream. In slow start and recovery fewer slots are assumed.
     double utilisation(core::time_point now) const;
 
+    /// Number of free slots as far as known; at least a small fraction, so that
+    /// an upstream with a free slot can be drawn. In slow start and recovery
+    /// fewer slots are assumed.
+    double free_slots(core::time_point now) const;
+
     /// Increments the number of attempts in flight.
     void begin_attempt()
     {
@@ -88,10 +93,27 @@
     void report_load(unsigned in_flight, core::time_point now);
 
     /// Marks the upstream as leaving. This is final: a list that still shows it
-    /// as live only lags.
-    void mark_leaving()
+    /// as live only lags. Returns whether it was not marked before.
+    bool mark_leaving()
+    {
+        return !leaving_.exchange(true, std::memory_order_relaxed);
+    }
+
+    /// Sends the upstream nothing before `until`, as it has asked for. An
+    /// earlier time than it asked for before is ignored.
+    void hold_until(core::time_point until);
+
+    /// When the upstream accepts requests again; in the past unless it is held.
+    core::time_point held_until() const
+    {
+        return core::time_point(
+            core::duration(held_until_.load(std::memory_order_relaxed)));
+    }
+
+    /// Whether the upstream has asked this instance to send nothing now.
+    bool is_held(core::time_point now) const
     {
-        leaving_.store(true, std::memory_order_relaxed);
+        return now < held_until();
     }
 
     /// Whether the upstream was marked as leaving.
@@ -143,10 +165,10 @@
             core::duration(trial_due_at_.load(std::memory_order_relaxed)));
     }
 
-    /// Whether it has a free slot as far as this instance knows: the attempts
-    /// of this instance are below the concurrency limit, the known attempts of
-    /// all instances are below the number of slots, and no recent load report
-    /// says that its slots are full.
+    /// Whether it has a free slot as far as this instance knows: it is not
+    /// held, the attempts of this instance are below the concurrency limit, the
+    /// known attempts of all instances are below the number of slots, and no
+    /// recent load report says that its slots are full.
     bool has_free_slot(core::time_point now) const;
 
     /// Fraction of its full load that it should receive, 0 to 1, from slow
@@ -184,6 +206,9 @@
     /// When the trial request became due, in ticks of the clock.
     std::atomic<core::duration::rep> trial_due_at_{0};
     std::atomic<bool> leaving_{false};
+    /// See held_until(), in ticks of the clock.
+    std::atomic<core::duration::rep> held_until_{
+        core::time_point::min().time_since_epoch().count()};
     /// Last reported load and the time of the report, in ticks of the clock.
     std::atomic<unsigned> reported_load_{0};
     std::atomic<core::duration::rep> reported_at_{0};
--- a/measure/main.cpp
+++ b/measure/main.cpp
@@ -7,6 +7,7 @@
 #include <measure/current_proxy.hpp>
 #include <measure/measurements.hpp>
 #include <measure/scenario.hpp>
+#include <measure/shared_choice.hpp>
 #include <measure/simulation.hpp>
 #include <stdexcept>
 
@@ -60,6 +61,38 @@
     return setup;
 }
 
+routing::balancing_policy parse_policy(std::string const& name)
+{
+    using routing::balancing_policy;
+    if (name == "least-used")
+        return balancing_policy::least_used;
+    if (name == "least-used-of-all")
+        return balancing_policy::least_used_of_all;
+    if (name == "free-slots")
+        return balancing_policy::free_slots;
+    throw std::invalid_argument("unknown policy '" + name + "'");
+}
+
+/// Runs the experiment "shared-choice" and prints its figures.
+void run_shared_choice(cxxopts::ParseResult const& parsed)
+{
+    measure::shared_choice_scenario setup;
+    setup.policy = parse_policy(parsed["policy"].as<std::string>());
+    setup.instances = parsed["instances"].as<unsigned>();
+    setup.upstreams = parsed["upstreams"].as<unsigned>();
+    setup.slots = parsed["slots"].as<unsigned>();
+    setup.load = parsed["load"].as<double>();
+    setup.seed = parsed["seed"].as<std::uint64_t>();
+    setup.duration = std::chrono::seconds(parsed["duration"].as<unsigned>());
+    setup.report_interval =
+        std::chrono::milliseconds(parsed["report-interval"].as<unsigned>());
+    if (setup.instances == 0 || setup.upstreams == 0 || setup.slots == 0 ||
+        setup.report_interval.count() == 0)
+        throw std::invalid_argument("a number must be at least 1");
+    std::cout << boost::json::serialize(measure::run_shared_choice(setup))
+              << '\n';
+}
+
 template <typename Proxy>
 std::vector<measure::measurements> run_all(measure::scenario setup,
                                            unsigned runs)
@@ -81,6 +114,24 @@
         options.add_options()(name, help, value, placeholder);
     };
     using text = std::string;
+    add("experiment",
+        "fault, or shared-choice: many instances choose among the upstreams "
+        "of their failure domain",
+        cxxopts::value<text>()->default_value("fault"),
+        "NAME");
+    add("instances",
+        "instances of the experiment shared-choice",
+        cxxopts::value<unsigned>()->default_value("21"),
+        "N");
+    add("slots",
+        "slots of an upstream in the experiment shared-choice",
+        cxxopts::value<unsigned>()->default_value("4"),
+        "N");
+    add("report-interval",
+        "milliseconds between two load reports in the experiment "
+        "shared-choice",
+        cxxopts::value<unsigned>()->default_value("50"),
+        "MS");
     add("deployment",
         "mbao or carrelli",
         cxxopts::value<text>()->default_value("mbao"),
@@ -91,7 +142,8 @@
         cxxopts::value<text>()->default_value("none"),
         "NAME");
     add("policy",
-        "baseline or current",
+        "baseline or current; in the experiment shared-choice least-used, "
+        "least-used-of-all or free-slots",
         cxxopts::value<text>()->default_value("current"),
         "NAME");
     add("seed",
@@ -133,6 +185,14 @@
         std::cout << options.help();
         return 0;
     }
+    auto const experiment = parsed["experiment"].as<text>();
+    if (experiment == "shared-choice")
+    {
+        run_shared_choice(parsed);
+        return 0;
+    }
+    if (experiment != "fault")
+        throw std::invalid_argument("unknown experiment '" + experiment + "'");
     auto const setup = parse_scenario(parsed);
     auto const runs = parsed["runs"].as<unsigned>();
     auto const policy = parsed["policy"].as<text>();
