--- a/kumquatloom/entry/instance_state.hpp
+++ b/kumquatloom/entry/instance_state.hpp
@@ -22,6 +22,7 @@
 #include <kumquatloom/request/ticket_keys.hpp>
 #include <kumquatloom/request/ticket_table.hpp>
 #include <kumquatloom/request/wire_dialect.hpp>
+#include <kumquatloom/routing/entry_fault.hpp>
 #include <kumquatloom/routing/upstream_listing.hpp>
 #include <kumquatloom/settings/instance_settings.hpp>
 
@@ -85,6 +86,9 @@
     /// Optional observer, called with the result of each attempt.
     std::function<void(routing::upstream const&, health::attempt_report const&)>
         attempt_ended;
+    /// Optional observer, called when an upstream first announces its departure
+    /// in a response.
+    std::function<void(routing::upstream const&)> upstream_left;
     /// The services of the active document.
     core::rcu_cell<service_table> services;
     /// Membership of the fleet; null for a standalone instance.
@@ -111,6 +115,8 @@
     core::counter_family<request::response_verdict> verdicts;
     /// Counts events of the servers and upstream pools.
     core::counter_family<entry_event> events;
+    /// Counts ignored entries in the list of upstreams.
+    core::counter_family<routing::entry_fault> ignored_entries;
     /// Bounds the memory for buffered responses.
     memory_budget buffered_answers;
     /// Time from the end of reading a request to the end of writing its
@@ -128,6 +134,9 @@
     /// Whether the instance is draining, which callers and peers see as
     /// leaving.
     std::atomic<bool> leaving{false};
+    /// When a stopping instance answers the requests that are still in
+    /// progress, in clock ticks since the epoch; 0 unless it stops.
+    std::atomic<core::duration::rep> answer_by{0};
     /// The bound port for callers.
     std::atomic<std::uint16_t> callers_port{0};
     /// The bound port for operators.
--- a/kumquatloom/entry/metrics_page.cpp
+++ b/kumquatloom/entry/metrics_page.cpp
@@ -25,6 +25,7 @@
     add("kumquatloom_tickets_total", "action", state.tickets.counters());
     add("kumquatloom_shed_total", "priority", state.shedder.shed());
     add("kumquatloom_events_total", "event", state.events);
+    add("kumquatloom_ignored_entries_total", "reason", state.ignored_entries);
     add_services(state);
     add_gauge("kumquatloom_caller_connections", state.caller_connections);
     add_gauge("kumquatloom_requests_in_flight", state.requests_in_flight);
--- a/kumquatloom/hosting/replica_snapshot.hpp
+++ b/kumquatloom/hosting/replica_snapshot.hpp
@@ -28,6 +28,10 @@
     std::string document;
     /// All listed upstreams.
     std::vector<routing::listed_upstream> upstreams;
+    /// Those of `upstreams` whose leases lapsed around an outage of the store,
+    /// and the time that they have left to renew them.
+    std::vector<core::upstream_id> lapsed;
+    std::chrono::milliseconds lapsed_grace{0};
     /// Store position of the contents.
     store_position position;
     /// Age of the contents when the snapshot was made.
@@ -43,17 +47,25 @@
         auto list = peer::bounded<max_listed_upstreams>(upstreams);
         peer::wire_milliseconds wire_age(age);
         archive(text, list, position, wire_age);
-        bounded_hosts bounded_field(hosts);
-        archive(bounded_field);
+        bounded_texts<std::string, max_hosts, peer::max_address_bytes>
+            bounded_addresses(hosts);
+        archive(bounded_addresses);
+        bounded_texts<core::upstream_id,
+                      max_listed_upstreams,
+                      peer::max_name_bytes>
+            bounded_ids(lapsed);
+        peer::wire_milliseconds wire_grace(lapsed_grace);
+        archive(bounded_ids, wire_grace);
     }
 
 private:
-    /// Serializes the addresses with bounds on their number and sizes.
-    class bounded_hosts
+    /// Serializes texts with bounds on their number and sizes.
+    template <typename Text, std::size_t MaxCount, std::size_t MaxBytes>
+    class bounded_texts
     {
     public:
-        explicit bounded_hosts(std::vector<std::string>& hosts)
-            : hosts_(hosts)
+        explicit bounded_texts(std::vector<Text>& texts)
+            : texts_(texts)
         {
         }
 
@@ -61,20 +73,22 @@
         template <typename Archive>
         void serialize(Archive& archive)
         {
-            auto count = static_cast<std::uint16_t>(hosts_.size());
+            if (texts_.size() > MaxCount)
+                throw peer::bounds_error();
+            auto count = static_cast<std::uint16_t>(texts_.size());
             archive(count);
-            if (count > max_hosts)
+            if (count > MaxCount)
                 throw peer::bounds_error();
-            hosts_.resize(count);
-            for (auto& host : hosts_)
+            texts_.resize(count);
+            for (auto& item : texts_)
             {
-                auto text = peer::bounded<peer::max_address_bytes>(host);
+                auto text = peer::bounded<MaxBytes>(item);
                 archive(text);
             }
         }
 
     private:
-        std::vector<std::string>& hosts_;
+        std::vector<Text>& texts_;
     };
 };
 
--- a/kumquatloom/hosting/store_replica.cpp
+++ b/kumquatloom/hosting/store_replica.cpp
@@ -13,6 +13,10 @@
 namespace
 {
 
+/// Number of ignored entries whose faults are remembered, so that each is
+/// logged once.
+constexpr std::size_t max_logged_faults = 256;
+
 /// Age in milliseconds, rounded up so that the contents never look fresher than
 /// they are.
 std::chrono::milliseconds age_of(core::time_point as_of, core::time_point now)
@@ -41,8 +45,11 @@
 } // namespace
 
 store_replica::store_replica(
-    parser parse, routing::upstream_registry_settings const& settings)
+    parser parse,
+    routing::upstream_registry_settings const& settings,
+    fault_handler entry_ignored)
     : parse_(parse)
+    , entry_ignored_(std::move(entry_ignored))
     , registry_(settings)
 {
 }
@@ -65,6 +72,8 @@
     }
     if (page.next.upstreams < position_.upstreams)
         return result;
+    for (auto const& item : page.upstreams)
+        report_fault(item);
     if (page.is_complete)
     {
         std::vector<routing::listed_upstream> listed;
@@ -122,8 +131,11 @@
         position_.configuration = snapshot.position.configuration;
     }
     if (snapshot.position.upstreams >= position_.upstreams)
+    {
         replace_upstreams(
             snapshot.upstreams, snapshot.position.upstreams, now, result);
+        registry_.mark_lapsed(snapshot.lapsed, snapshot.lapsed_grace, now);
+    }
     return result;
 }
 
@@ -198,12 +210,35 @@
     replica_snapshot result;
     result.document = document_text_;
     result.upstreams = registry_.listing();
+    result.lapsed = registry_.lapsed();
+    result.lapsed_grace =
+        std::chrono::ceil<std::chrono::milliseconds>(registry_.grace_left(now));
     result.position = position_;
     if (as_of_)
         result.age = age_of(*as_of_, now);
     return result;
 }
 
+void store_replica::report_fault(routing::upstream_change const& item)
+{
+    if (!item.fault)
+    {
+        logged_faults_.erase(item.id);
+        return;
+    }
+    if (entry_ignored_)
+        entry_ignored_(*item.fault);
+    auto const known = logged_faults_.find(item.id);
+    if (known != logged_faults_.end() && known->second == *item.fault)
+        return;
+    if (logged_faults_.size() >= max_logged_faults)
+        logged_faults_.clear();
+    logged_faults_.insert_or_assign(item.id, *item.fault);
+    core::log_warning(
+        "upstream_entry_ignored",
+        {{"upstream", item.id.value()}, {"reason", to_string(*item.fault)}});
+}
+
 bool store_replica::apply_document(std::string const& text)
 {
     core::fault_list faults;
--- a/kumquatloom/hosting/store_replica.hpp
+++ b/kumquatloom/hosting/store_replica.hpp
@@ -14,6 +14,8 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -46,9 +48,14 @@
         bool upstreams_changed = false;
     };
 
+    /// Called for each entry of an own read that is ignored.
+    using fault_handler = std::function<void(routing::entry_fault)>;
+
     /// Starts empty.
     explicit store_replica(
-        parser parse, routing::upstream_registry_settings const& settings = {});
+        parser parse,
+        routing::upstream_registry_settings const& settings = {},
+        fault_handler entry_ignored = {});
 
     /// Applies the result of an own read of the store that started at `as_of`.
     /// Ignores the parts of which newer contents have been applied since.
@@ -122,6 +129,7 @@
         routing::upstream_change change;
     };
 
+    void report_fault(routing::upstream_change const& item);
     bool apply_document(std::string const& text);
     bool apply_changes(std::vector<routing::upstream_change> const& changes,
                        core::log_offset offset,
@@ -138,6 +146,9 @@
     void clear_recent_changes();
 
     parser parse_;
+    fault_handler entry_ignored_;
+    /// Faults that were logged, by the id of the entry.
+    std::map<core::upstream_id, routing::entry_fault> logged_faults_;
     /// The configuration in force, parsed and as stored.
     boost::intrusive_ptr<document::document> document_;
     std::string document_text_;
--- a/kumquatloom/routing/names.cpp
+++ b/kumquatloom/routing/names.cpp
@@ -1,3 +1,4 @@
+#include <kumquatloom/routing/entry_fault.hpp>
 #include <kumquatloom/routing/pick_error.hpp>
 #include <kumquatloom/routing/pick_tier.hpp>
 
@@ -9,6 +10,20 @@
 namespace kumquatloom::routing
 {
 
+std::string_view to_string(entry_fault fault)
+{
+    static constexpr std::array<std::string_view, 7> names = {"bad_id",
+                                                              "unreadable",
+                                                              "missing_field",
+                                                              "wrong_type",
+                                                              "out_of_range",
+                                                              "unknown_state",
+                                                              "unknown_domain"};
+    static_assert(names.size() == static_cast<std::size_t>(entry_fault::count));
+    BOOST_ASSERT(fault < entry_fault::count);
+    return names[static_cast<std::size_t>(fault)];
+}
+
 std::string_view to_string(pick_error error)
 {
     static constexpr std::array<std::string_view, 3> names = {
--- a/kumquatloom/routing/upstream_change.hpp
+++ b/kumquatloom/routing/upstream_change.hpp
@@ -2,6 +2,7 @@
 #define KUMQUATLOOM_ROUTING_UPSTREAM_CHANGE_HPP
 
 #include <kumquatloom/core/ids.hpp>
+#include <kumquatloom/routing/entry_fault.hpp>
 #include <kumquatloom/routing/upstream_endpoint.hpp>
 
 #include <optional>
@@ -13,8 +14,11 @@
 struct upstream_change
 {
     core::upstream_id id;
-    /// The new entry; empty if the entry was removed or cannot be read.
+    /// The new entry; empty if the entry was removed or names no upstream.
     std::optional<listed_upstream> entry;
+    /// Why an entry that was not removed names no upstream. Neighbours are not
+    /// told.
+    std::optional<entry_fault> fault{};
 };
 
 } // namespace kumquatloom::routing
--- a/kumquatloom/routing/upstream_registry.cpp
+++ b/kumquatloom/routing/upstream_registry.cpp
@@ -1,5 +1,6 @@
 #include <kumquatloom/routing/upstream_registry.hpp>
 
+#include <algorithm>
 #include <set>
 
 namespace kumquatloom::routing
@@ -93,6 +94,34 @@
     return count;
 }
 
+std::vector<core::upstream_id> upstream_registry::lapsed() const
+{
+    std::vector<core::upstream_id> result;
+    for (auto const& [id, item] : upstreams_)
+        if (item.lapsed)
+            result.push_back(id);
+    return result;
+}
+
+core::duration upstream_registry::grace_left(core::time_point now) const
+{
+    return now < grace_end_ ? grace_end_ - now : core::duration::zero();
+}
+
+void upstream_registry::mark_lapsed(std::vector<core::upstream_id> const& ids,
+                                    core::duration grace_left,
+                                    core::time_point now)
+{
+    for (auto const& id : ids)
+        if (auto const found = upstreams_.find(id);
+            found != upstreams_.end() && !found->second.entry.leaving)
+            found->second.lapsed = true;
+    if (!ids.empty())
+        grace_end_ = std::max(
+            grace_end_,
+            now + std::min<core::duration>(grace_left, settings_.grace));
+}
+
 bool upstream_registry::remove(core::upstream_id const& id,
                                core::time_point now)
 {
--- a/kumquatloom/routing/upstream_registry.hpp
+++ b/kumquatloom/routing/upstream_registry.hpp
@@ -51,6 +51,19 @@
     /// them.
     std::size_t lapsed_count() const;
 
+    /// Ids of the upstreams whose leases have lapsed and that may still renew
+    /// them.
+    std::vector<core::upstream_id> lapsed() const;
+
+    /// Time that upstreams with lapsed leases have left to renew them.
+    core::duration grace_left(core::time_point now) const;
+
+    /// Marks listed upstreams as lapsed, as another registry knows them;
+    /// `grace_left` is the time that they have left there.
+    void mark_lapsed(std::vector<core::upstream_id> const& ids,
+                     core::duration grace_left,
+                     core::time_point now);
+
 private:
     struct registration
     {
--- a/unit_tests/platform/platform_fixture.cpp
+++ b/unit_tests/platform/platform_fixture.cpp
@@ -90,12 +90,14 @@
 void platform_fixture::put_entry(std::string const& id,
                                  std::uint16_t port,
                                  std::string const& state,
-                                 std::string const& service)
+                                 std::string const& service,
+                                 unsigned born)
 {
     auto const entry = R"({"service":")" + service +
                        R"(","address":"127.0.0.1:)" + std::to_string(port) +
                        R"(","zone":"west","slots":6,"state":")" + state +
-                       R"(","warmupLeftS":0,"born":1,"seq":1})";
+                       R"(","warmupLeftS":0,"born":)" + std::to_string(born) +
+                       R"(,"seq":1})";
     with_store(
         [&](stand_ins::platform_store_stand_in& store)
         {
@@ -104,7 +106,8 @@
 }
 
 void platform_fixture::put_configuration(unsigned version,
-                                         std::string const& rows)
+                                         std::string const& rows,
+                                         unsigned header_timeout_s)
 {
     auto const text =
         R"({"version":)" + std::to_string(version) +
@@ -114,7 +117,8 @@
         rows +
         R"(]},"services":{"columns":["name"],"rows":[["shop"],["other"]]},)"
         R"("limits":{"maxHeaderBytes":16384,"maxBodyBytes":1048576,)"
-        R"("headerTimeoutS":3,"idleTimeoutS":15}})";
+        R"("headerTimeoutS":)" +
+        std::to_string(header_timeout_s) + R"(,"idleTimeoutS":15}})";
     with_store(
         [&](stand_ins::platform_store_stand_in& store)
         {
--- a/unit_tests/platform/platform_fixture.hpp
+++ b/unit_tests/platform/platform_fixture.hpp
@@ -41,10 +41,13 @@
     void put_entry(std::string const& id,
                    std::uint16_t port,
                    std::string const& state,
-                   std::string const& service = "shop");
+                   std::string const& service = "shop",
+                   unsigned born = 1);
 
     /// Writes a configuration; `rows` are the rows of its routes table.
-    void put_configuration(unsigned version, std::string const& rows);
+    void put_configuration(unsigned version,
+                           std::string const& rows,
+                           unsigned header_timeout_s = 3);
 
     /// Runs a function on the store's thread and waits for its end.
     void
