Obey Server-Leaving and Retry-After of upstreams

Cause: neither header was read. A backend that announced its departure in a response, or asked for a pause with its refusal, got further requests. Change: both are applied when the head of a response has been read, also to requests that still wait for a connection. A departure is final for that process of the upstream. A pause is load, not evidence of a failure. If all upstreams of a service pause for longer than a request can wait, it is refused at once, also if it was queued before, with a Retry-After that covers the pause and a random part that spreads the return.

--- a/kumquatloom/entry/entry_event.cpp
+++ b/kumquatloom/entry/entry_event.cpp
@@ -31,6 +31,10 @@
         return "upstream-stray";
     case entry_event::late_answer:
         return "late-answer";
+    case entry_event::upstream_left:
+        return "upstream-left";
+    case entry_event::upstream_held:
+        return "upstream-held";
     case entry_event::exchange_cancelled:
         return "exchange-cancelled";
     case entry_event::ticket_forwarded:
--- a/kumquatloom/entry/entry_event.hpp
+++ b/kumquatloom/entry/entry_event.hpp
@@ -27,6 +27,10 @@
     upstream_stray,
     /// A complete response arrived after the deadline of its attempt.
     late_answer,
+    /// An upstream announced its departure in a response.
+    upstream_left,
+    /// An upstream asked for a pause in a response.
+    upstream_held,
     exchange_cancelled,
     ticket_forwarded,
     probe_succeeded,
--- a/kumquatloom/entry/exchange_result.cpp
+++ b/kumquatloom/entry/exchange_result.cpp
@@ -17,6 +17,8 @@
         return "no-connection";
     case exchange_status::not_written:
         return "not-written";
+    case exchange_status::withdrawn:
+        return "withdrawn";
     case exchange_status::timeout:
         return "timeout";
     case exchange_status::wrong_answer:
--- a/kumquatloom/entry/exchange_result.hpp
+++ b/kumquatloom/entry/exchange_result.hpp
@@ -23,6 +23,9 @@
     /// Not written, because the deadline had passed or the request may already
     /// be running at another upstream.
     not_written,
+    /// Not written, because the upstream announced its departure or asked for a
+    /// pause after it was chosen.
+    withdrawn,
     timeout,
     /// Received a response that is malformed or failed verification.
     wrong_answer,
@@ -46,6 +49,8 @@
     http_response response;
     /// Memory reserved for the response body.
     memory_budget::reservation memory;
+    /// Whether the response has status 503 and asks for a pause.
+    bool is_held = false;
     /// Time from the first byte sent to the last byte received.
     core::duration latency{};
 };
--- a/kumquatloom/entry/request_execution.cpp
+++ b/kumquatloom/entry/request_execution.cpp
@@ -45,6 +45,9 @@
     switch (result.status)
     {
     case exchange_status::answered:
+        // An upstream that asks for a pause is overloaded, not unhealthy.
+        if (result.is_held)
+            return attempt_result::refused;
         return is_upstream_error(result) ? attempt_result::upstream_error
                                          : attempt_result::success;
     case exchange_status::refused:
@@ -59,6 +62,7 @@
         return attempt_result::cut_short;
     case exchange_status::no_connection:
     case exchange_status::not_written:
+    case exchange_status::withdrawn:
     case exchange_status::answer_too_large:
     case exchange_status::cancelled:
         break;
@@ -74,6 +78,7 @@
     case exchange_status::answered:
         return retry_reason::upstream_error;
     case exchange_status::refused:
+    case exchange_status::withdrawn:
         return retry_reason::refused;
     case exchange_status::connect_failure:
     case exchange_status::no_connection:
@@ -217,7 +222,7 @@
                                        item.number,
                                        item.until,
                                        item.cancel,
-                                       item.chosen.object->endpoint()});
+                                       *item.chosen.object});
     item.result = co_await single_exchange.run(*pool);
 }
 
@@ -309,7 +314,8 @@
     if (item.result.status != exchange_status::answered &&
         item.result.status != exchange_status::refused)
         return;
-    auto const status = parse_upstream_status(item.result.response);
+    auto const status =
+        parse_upstream_status(item.result.response, resources_.state.dialect);
     if (status.in_flight)
         item.chosen.object->report_load(*status.in_flight, core::clock::now());
     // Status 421 shows that another upstream has taken over the address.
@@ -318,7 +324,7 @@
         item.result.response.result() == http::status::misdirected_request;
     if (replaced)
         logger_.upstream_replaced(item.chosen);
-    if (status.leaving || replaced)
+    if (replaced)
         item.chosen.object->mark_leaving();
 }
 
@@ -433,8 +439,9 @@
         queue_.estimated_response_time(), min_retry_delay);
     return local_response(reason,
                           outcome,
-                          std::chrono::duration_cast<core::duration>(
-                              mean_delay * jitter(resources_.random)));
+                          queue_.time_until_available() +
+                              std::chrono::duration_cast<core::duration>(
+                                  mean_delay * jitter(resources_.random)));
 }
 
 refusal_reason request_execution::final_reason() const
--- a/kumquatloom/entry/request_logger.cpp
+++ b/kumquatloom/entry/request_logger.cpp
@@ -49,6 +49,26 @@
                     {"document", table ? table->version() : 0}});
 }
 
+void log_upstream_left(routing::upstream const& target)
+{
+    auto const& endpoint = target.endpoint();
+    core::log_info("upstream_left",
+                   {{"upstream", endpoint.id.value()},
+                    {"service", endpoint.service.value()},
+                    {"address", endpoint.host},
+                    {"port", endpoint.port},
+                    {"in_flight", target.in_flight()}});
+}
+
+void log_upstream_held(routing::upstream const& target, core::duration pause)
+{
+    core::log_rate_limited("upstream_held",
+                           {{"upstream", target.endpoint().id.value()},
+                            {"service", target.endpoint().service.value()},
+                            {"pause_ms", to_ms(pause)},
+                            {"in_flight", target.in_flight()}});
+}
+
 request_logger::request_logger(instance_state const& state,
                                inbound_request const& inbound,
                                admission::admitted_request const& admitted)
--- a/kumquatloom/entry/request_logger.hpp
+++ b/kumquatloom/entry/request_logger.hpp
@@ -24,6 +24,12 @@
                  inbound_request const& inbound,
                  admission::refusal_reason reason);
 
+/// Logs that an upstream announced its departure in a response.
+void log_upstream_left(routing::upstream const& target);
+
+/// Logs that an upstream asked for a pause in a response.
+void log_upstream_held(routing::upstream const& target, core::duration pause);
+
 /// Logs the attempts of one admitted request with the state that each decision
 /// was based on, their results, and the response.
 class request_logger
--- a/kumquatloom/entry/slot_queue.cpp
+++ b/kumquatloom/entry/slot_queue.cpp
@@ -56,7 +56,13 @@
 
 asio::awaitable<slot_queue::result> slot_queue::wait(slot_request request)
 {
+    auto const now = core::clock::now();
+    auto const give_up_at = wait_deadline(request, now);
+    // All upstreams have asked for a pause that lasts too long for the request.
+    if (is_unservable(give_up_at, now))
+        co_return core::failure(refusal_reason::overloaded);
     waiter_pointer const self(new waiter(context_));
+    self->give_up_at = give_up_at;
     auto pushed = queue_.push(request.organisation,
                               request.priority,
                               latest_start(request.answer_by),
@@ -69,7 +75,8 @@
     if (!pushed.queued)
         co_return core::failure(refusal_reason::queue_full);
     schedule();
-    self->timer.expires_at(wait_deadline(request, core::clock::now()));
+    waiters_.push_back(*self);
+    self->timer.expires_at(give_up_at);
     cancellation_callback on_cancel(
         [&self]
         {
@@ -80,6 +87,7 @@
     co_await self->timer.async_wait(as_result);
     service_->waiting.fetch_sub(1, std::memory_order_relaxed);
     self->done = true;
+    self->unlink();
     if (self->assigned)
         co_return core::success(std::move(*self->assigned));
     co_return core::failure(self->evicted ? refusal_reason::queue_full
@@ -95,7 +103,10 @@
         // Without any upstream the requests stay queued until their deadline,
         // because the instance list may lag behind.
         if (!chosen)
+        {
+            reject_unservable(now);
             return;
+        }
         auto next = queue_.pop(now);
         while (next && (*next)->done)
             next = queue_.pop(now);
@@ -122,6 +133,31 @@
         queue_.size(), service_->slots.load(std::memory_order_relaxed));
 }
 
+core::duration slot_queue::time_until_available() const
+{
+    auto const now = core::clock::now();
+    auto const at = service_->picker.available_at(now);
+    return at == core::time_point::max() ? core::duration::zero() : at - now;
+}
+
+bool slot_queue::is_unservable(core::time_point give_up_at,
+                               core::time_point now) const
+{
+    auto const at = service_->picker.available_at(now);
+    // Without any upstream the list may lag behind, so that requests wait.
+    return at != core::time_point::max() && at > now && at > give_up_at;
+}
+
+void slot_queue::reject_unservable(core::time_point now)
+{
+    auto const at = service_->picker.available_at(now);
+    if (at == core::time_point::max() || at <= now)
+        return;
+    for (auto& item : waiters_)
+        if (at > item.give_up_at && !item.assigned)
+            wake(item);
+}
+
 core::time_point slot_queue::wait_deadline(slot_request const& request,
                                            core::time_point now) const
 {
--- a/kumquatloom/entry/slot_queue.hpp
+++ b/kumquatloom/entry/slot_queue.hpp
@@ -14,6 +14,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/intrusive/list.hpp>
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 
@@ -72,14 +73,22 @@
     /// that wait now.
     core::duration estimated_response_time() const;
 
+    /// Time until an upstream of the service accepts requests; zero unless all
+    /// of them have asked for a pause.
+    core::duration time_until_available() const;
+
     service_state& service() const
     {
         return *service_;
     }
 
 private:
+    using waiter_hook = boost::intrusive::list_base_hook<
+        boost::intrusive::link_mode<boost::intrusive::auto_unlink>>;
+
     struct waiter
-        : boost::intrusive_ref_counter<waiter, boost::thread_unsafe_counter>
+        : boost::intrusive_ref_counter<waiter, boost::thread_unsafe_counter>,
+          waiter_hook
     {
         explicit waiter(asio::io_context& context)
             : timer(context)
@@ -88,6 +97,8 @@
 
         /// Expires when the wait ends.
         asio::steady_timer timer;
+        /// Latest time at which the request may start.
+        core::time_point give_up_at;
         /// The assigned upstream.
         std::optional<routing::pick> assigned;
         /// Whether the request was evicted from the full queue in favour of
@@ -97,9 +108,14 @@
     };
 
     using waiter_pointer = boost::intrusive_ptr<waiter>;
+    using waiter_list =
+        boost::intrusive::list<waiter,
+                               boost::intrusive::constant_time_size<false>>;
 
     std::optional<result> try_acquire(slot_request const& request);
     asio::awaitable<result> wait(slot_request request);
+    bool is_unservable(core::time_point give_up_at, core::time_point now) const;
+    void reject_unservable(core::time_point now);
     void schedule();
     static void wake(waiter& item);
     core::time_point latest_start(core::time_point answer_by) const;
@@ -110,6 +126,8 @@
     boost::intrusive_ptr<service_state> service_;
     /// The waiting requests.
     limits::priority_fair_queue<waiter_pointer> queue_;
+    /// The same requests, in the order of arrival.
+    waiter_list waiters_;
     /// Polls for slots that were freed other than by this worker's requests.
     asio::steady_timer timer_;
     /// Number of selections for waiting requests; breaks ties between equal
--- a/kumquatloom/entry/upstream_exchange.cpp
+++ b/kumquatloom/entry/upstream_exchange.cpp
@@ -4,7 +4,9 @@
 #include <kumquatloom/entry/inbound_request.hpp>
 #include <kumquatloom/entry/instance_state.hpp>
 #include <kumquatloom/entry/keep_alive_timeout.hpp>
+#include <kumquatloom/entry/request_logger.hpp>
 #include <kumquatloom/entry/upstream_exchange.hpp>
+#include <kumquatloom/entry/upstream_status.hpp>
 #include <kumquatloom/log_service/read_body.hpp>
 #include <kumquatloom/request/content_digest.hpp>
 #include <kumquatloom/request/response_check.hpp>
@@ -149,12 +151,38 @@
     }
 }
 
-bool upstream_exchange::is_stray(http_response const& response)
+bool upstream_exchange::belongs_to_other_request(
+    http_response const& response) const
 {
-    if (!state_.dialect.keeps_request_id)
-        return false;
     auto const id = response[state_.dialect.request_id];
-    if (id.empty() || as_view(id) == id_.value())
+    return state_.dialect.keeps_request_id && !id.empty() &&
+           as_view(id) != id_.value();
+}
+
+void upstream_exchange::apply_status(http_response const& response)
+{
+    auto const status = parse_upstream_status(response, state_.dialect);
+    auto& target = task_.target;
+    // Both responses of the connection are from the same process, so that a
+    // departure is believed from each.
+    if (status.leaving && target.mark_leaving())
+    {
+        state_.events.increment(entry_event::upstream_left);
+        log_upstream_left(target);
+        if (state_.upstream_left)
+            state_.upstream_left(target);
+    }
+    if (!status.retry_after || belongs_to_other_request(response))
+        return;
+    target.hold_until(core::clock::now() + *status.retry_after);
+    state_.events.increment(entry_event::upstream_held);
+    log_upstream_held(target, *status.retry_after);
+    result_.is_held = true;
+}
+
+bool upstream_exchange::is_stray(http_response const& response)
+{
+    if (!belongs_to_other_request(response))
         return false;
     state_.events.increment(entry_event::upstream_stray);
     return true;
@@ -170,6 +198,10 @@
     // Read the time directly before the first byte is handed to the kernel,
     // because the process may have been paused since the attempt started.
     sent_at_ = core::clock::now();
+    // The upstream may have announced its departure, or asked for a pause,
+    // while this request waited for a connection.
+    if (task_.target.is_leaving() || task_.target.is_held(sent_at_))
+        co_return fail(exchange_status::withdrawn);
     if (task_.cancel.requested() ||
         !task_.attempts.begin_write(task_.number, sent_at_))
         co_return fail(exchange_status::not_written);
@@ -191,6 +223,7 @@
         connection.stream(), connection.buffer(), parser, as_result);
     if (error)
         co_return fail(error);
+    apply_status(parser.get());
     co_return co_await read_body(connection, parser);
 }
 
@@ -288,7 +321,9 @@
     if (!dialect.organisation.empty())
         append_header(dialect.organisation, task_.organisation.value(), head);
     if (!dialect.expected_upstream.empty())
-        append_header(dialect.expected_upstream, task_.target.id.value(), head);
+        append_header(dialect.expected_upstream,
+                      task_.target.endpoint().id.value(),
+                      head);
     auto const left = task_.until.remaining_ms(core::clock::now());
     append_header(dialect.deadline, std::to_string(left.count()), head);
     // Methods that usually have a body send Content-Length even if it is 0.
--- a/kumquatloom/entry/upstream_exchange.hpp
+++ b/kumquatloom/entry/upstream_exchange.hpp
@@ -43,7 +43,7 @@
         /// Cancels the attempt.
         cancellation& cancel;
         /// The upstream.
-        routing::upstream_endpoint const& target;
+        routing::upstream& target;
     };
 
     /// Prepares the exchange; run() starts it.
@@ -61,6 +61,8 @@
                                parser_type& parser);
     asio::awaitable<bool> read_body(upstream_connection& connection,
                                     parser_type& parser);
+    void apply_status(http_response const& response);
+    bool belongs_to_other_request(http_response const& response) const;
     bool is_stray(http_response const& response);
     bool verify_response(parser_type& parser);
     bool fail(exchange_status status);
--- a/kumquatloom/request/header_names.hpp
+++ b/kumquatloom/request/header_names.hpp
@@ -17,6 +17,8 @@
 inline constexpr std::string_view reason = "Kumquatloom-Reason";
 inline constexpr std::string_view load = "Kumquatloom-Load";
 inline constexpr std::string_view state = "Kumquatloom-State";
+/// Value of `state` of an upstream that is leaving.
+inline constexpr std::string_view leaving = "leaving";
 /// Value of `outcome` for a request that was not run.
 inline constexpr std::string_view not_run = "not-run";
 
--- a/kumquatloom/request/wire_dialect.hpp
+++ b/kumquatloom/request/wire_dialect.hpp
@@ -28,6 +28,9 @@
     /// Present in every response that an upstream itself, not an intermediary,
     /// has produced.
     std::string_view signature;
+    /// States that the upstream is leaving, and the value that says so.
+    std::string_view leaving = header_names::state;
+    std::string_view leaving_value = header_names::leaving;
     /// States that an upstream did not run the request.
     std::string_view refusal = header_names::outcome;
     /// Value of the refusal field that counts; empty if any value counts.
