Answer what is taken in a planned stop, and bound load messages

Cause: a request whose last bytes came late in the grace time was passed on and cut at its end without a response; the exit came only 0.3 s before the kill. The processor time of an instance grew with its failure domain, because each load change went to all neighbours every 50 ms, and each piece of evidence evaluated all upstreams. Change: limits::stop_schedule decides by when the last requests are answered (504, or 503 if they did not run) and the process exits; requests that cannot be answered by then are refused as not run. A notice tells the failure domain of a departure. The interval of load messages grows with the number of neighbours above 12; evidence evaluates a service only if an upstream crosses a threshold; the load of all upstreams is published only to new ones. Paused upstreams count as avoided for the floor.

--- a/kumquatloom/entry/caller_listener.cpp
+++ b/kumquatloom/entry/caller_listener.cpp
@@ -98,6 +98,12 @@
         session.abort();
 }
 
+void caller_listener::stop_requests()
+{
+    for (auto& session : sessions_)
+        session.stop_request();
+}
+
 tcp::endpoint caller_listener::address() const
 {
     return acceptor_.local_endpoint();
--- a/kumquatloom/entry/caller_listener.hpp
+++ b/kumquatloom/entry/caller_listener.hpp
@@ -39,6 +39,9 @@
     /// Closes every connection immediately.
     void abort_sessions();
 
+    /// Ends all requests in progress without waiting for their upstreams.
+    void stop_requests();
+
     /// The local address that the socket is bound to.
     tcp::endpoint address() const;
 
--- a/kumquatloom/entry/caller_session.cpp
+++ b/kumquatloom/entry/caller_session.cpp
@@ -115,6 +115,14 @@
         stream_.cancel();
 }
 
+void caller_session::stop_request()
+{
+    if (current_ == nullptr)
+        return;
+    current_->is_stopped = true;
+    current_->disconnect.request();
+}
+
 void caller_session::abort()
 {
     error_code ignored;
@@ -261,7 +269,7 @@
     // Ends the disconnect detection.
     error_code ignored;
     stream_.socket().cancel(ignored);
-    if (current.disconnect.requested())
+    if (current.disconnect.requested() && !current.is_stopped)
         co_return false;
     // Content-Length keeps the size of the body that GET would return.
     if (without_body)
--- a/kumquatloom/entry/caller_session.hpp
+++ b/kumquatloom/entry/caller_session.hpp
@@ -44,6 +44,10 @@
     /// response.
     void finish();
 
+    /// Ends the request in progress without waiting for its upstream. The
+    /// caller gets a response that states whether the request may have run.
+    void stop_request();
+
     /// Closes the connection immediately, without a response.
     void abort();
 
--- a/kumquatloom/entry/inbound_request.hpp
+++ b/kumquatloom/entry/inbound_request.hpp
@@ -45,8 +45,10 @@
     /// Whether the header was rejected for a fault that leaves the end of the
     /// request uncertain. The connection can't be reused then.
     bool has_ambiguous_framing = false;
-    /// Requested when the caller disconnects.
+    /// Requested when the caller disconnects or the instance stops.
     cancellation disconnect;
+    /// Whether the instance stops, so that the caller still gets a response.
+    bool is_stopped = false;
 
 private:
     /// Views of the header fields in `message`.
--- a/kumquatloom/health/health_estimate_table.cpp
+++ b/kumquatloom/health/health_estimate_table.cpp
@@ -98,7 +98,7 @@
 }
 
 std::vector<standing_decision>
-health_estimate_table::decide(core::time_point now)
+health_estimate_table::decide(core::time_point now, std::size_t withheld)
 {
     // At most max_avoided() upstreams are avoided, those with the highest
     // log-odds first.
@@ -115,11 +115,13 @@
     std::vector<standing_decision> decisions;
     decisions.reserve(ranked.size());
     avoided_count_ = 0;
+    has_crossing_ = false;
+    auto const limit = max_avoided() - std::min(max_avoided(), withheld);
     for (auto const& [log_odds, id] : ranked)
     {
         auto& state = upstreams_.at(*id);
-        bool const avoid = log_odds > settings_.avoid_threshold &&
-                           avoided_count_ < max_avoided();
+        bool const avoid =
+            log_odds > settings_.avoid_threshold && avoided_count_ < limit;
         avoided_count_ += avoid ? 1 : 0;
         bool const trial = avoid && now >= state.next_trial;
         decisions.push_back(
@@ -134,13 +136,23 @@
     return decisions;
 }
 
+int health_estimate_table::thresholds_exceeded(upstream_state const& state,
+                                               core::time_point now) const
+{
+    auto const log_odds = state.estimate.log_odds(now);
+    return (log_odds > settings_.avoid_threshold ? 1 : 0) +
+           (log_odds > settings_.last_resort_threshold ? 1 : 0);
+}
+
 void health_estimate_table::add(upstream_state& state,
                                 double weight,
                                 core::time_point now)
 {
-    bool const was_healthy =
-        state.estimate.log_odds(now) <= settings_.avoid_threshold;
+    auto const exceeded_before = thresholds_exceeded(state, now);
+    bool const was_healthy = exceeded_before == 0;
     state.estimate.add(weight, now);
+    has_crossing_ =
+        has_crossing_ || thresholds_exceeded(state, now) != exceeded_before;
     auto delay = core::duration::zero();
     if (weight > 0)
         delay = was_healthy ? settings_.first_trial_delay
--- a/kumquatloom/health/health_estimate_table.hpp
+++ b/kumquatloom/health/health_estimate_table.hpp
@@ -60,8 +60,18 @@
         observer_index_ = static_cast<int>(index);
     }
 
-    /// Returns the decision about each tracked upstream from now on.
-    std::vector<standing_decision> decide(core::time_point now);
+    /// Returns the decision about each tracked upstream from now on. `withheld`
+    /// upstreams accept no requests at present; they count as avoided for the
+    /// protected fraction.
+    std::vector<standing_decision> decide(core::time_point now,
+                                          std::size_t withheld = 0);
+
+    /// Whether evidence since the last decision has taken an upstream across
+    /// the threshold at which it is avoided, or becomes a last resort.
+    bool has_crossing() const
+    {
+        return has_crossing_;
+    }
 
     /// Number of upstreams that the last decision avoids.
     std::size_t avoided_count() const
@@ -81,6 +91,9 @@
         core::time_point next_trial;
     };
 
+    /// Number of thresholds of a standing that the log-odds exceed.
+    int thresholds_exceeded(upstream_state const& state,
+                            core::time_point now) const;
     void add(upstream_state& state, double weight, core::time_point now);
     std::size_t max_avoided() const;
 
@@ -95,6 +108,7 @@
     int observer_index_ = 0;
     /// Number of upstreams that the last decision avoids.
     std::size_t avoided_count_ = 0;
+    bool has_crossing_ = false;
 };
 
 } // namespace kumquatloom::health
--- a/kumquatloom/hosting/hosted_instance.cpp
+++ b/kumquatloom/hosting/hosted_instance.cpp
@@ -15,6 +15,7 @@
 #include <kumquatloom/hosting/replica_paths.hpp>
 #include <kumquatloom/hosting/replica_snapshot.hpp>
 #include <kumquatloom/hosting/replica_updater.hpp>
+#include <kumquatloom/limits/stop_schedule.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -50,9 +51,6 @@
 /// Time for which a draining instance still accepts connections, for callers
 /// that have not yet learned that it is leaving.
 constexpr std::chrono::milliseconds drain_accept_time{1000};
-/// Time before the end of the grace period at which the process exits by
-/// itself.
-constexpr std::chrono::milliseconds exit_margin{300};
 /// Maximum connections from an instance to an upstream: the number that an
 /// upstream accepts, about 390, divided among 48 instances.
 constexpr std::size_t connections_per_upstream = 8;
@@ -155,7 +153,12 @@
         , tracker(settings.avoidance_floor)
         , read_schedule(membership::read_schedule_settings::for_change_delay(
               settings.max_change_delay))
-        , replica(store.parse, {read_schedule.max_read_gap()})
+        , replica(store.parse,
+                  {read_schedule.max_read_gap()},
+                  [this](routing::entry_fault fault)
+                  {
+                      state.ignored_entries.increment(fault);
+                  })
         , messenger(
               context,
               {settings.listen.neighbours,
@@ -207,6 +210,10 @@
             if (tracker.has_urgent_evidence())
                 messenger.send_now();
         };
+        state.upstream_left = [this](routing::upstream const& target)
+        {
+            messenger.report_departure(target);
+        };
         readiness_server = make_page_server(settings.listen.readiness);
         directory_server = make_page_server(settings.listen.directory);
     }
@@ -314,6 +321,7 @@
                 next_sweep = now + idle_sweep_interval;
             }
             core::flush_log();
+            answer_last_requests(now);
             if (should_stop(now))
                 break;
             timer.expires_after(tick_interval);
@@ -483,7 +491,9 @@
     /// Starts draining, and the grace period for it.
     void begin_leaving(std::string_view cause)
     {
-        forced_stop_at = core::clock::now() + settings.grace - exit_margin;
+        if (!schedule)
+            schedule.emplace(core::clock::now(), settings.grace);
+        state.answer_by = schedule->answer_by().time_since_epoch().count();
         drain.begin(cause);
     }
 
@@ -495,11 +505,24 @@
         callers.finish_sessions();
     }
 
+    /// Answers the requests that are still in progress shortly before the end
+    /// of the grace period.
+    void answer_last_requests(core::time_point now)
+    {
+        if (!schedule || requests_stopped || now < schedule->answer_by())
+            return;
+        requests_stopped = true;
+        if (state.requests_in_flight != 0)
+            core::log_warning("requests_stopped",
+                              {{"requests", state.requests_in_flight.load()}});
+        callers.stop_requests();
+    }
+
     /// Whether the process should stop: nothing is in flight, or the grace
     /// period is over.
     bool should_stop(core::time_point now) const
     {
-        if (forced_stop_at && now >= *forced_stop_at)
+        if (schedule && now >= schedule->exit_at())
         {
             core::log_warning("stopped_with_requests",
                               {{"requests", state.requests_in_flight.load()}});
@@ -552,8 +575,10 @@
     /// Whether the listener is closed and only requests in flight are
     /// completed.
     bool finishing = false;
-    /// Time at which the process exits even with requests in flight.
-    std::optional<core::time_point> forced_stop_at;
+    /// The end of the planned stop, once it has begun.
+    std::optional<limits::stop_schedule> schedule;
+    /// Whether the last requests in progress have been answered.
+    bool requests_stopped = false;
 };
 
 hosted_instance::hosted_instance(hosted_settings settings,
--- a/kumquatloom/hosting/neighbour_messenger.cpp
+++ b/kumquatloom/hosting/neighbour_messenger.cpp
@@ -1,6 +1,8 @@
 #include <kumquatloom/core/logging.hpp>
 #include <kumquatloom/hosting/neighbour_messenger.hpp>
 
+#include <algorithm>
+#include <cstdint>
 #include <utility>
 
 namespace kumquatloom::hosting
@@ -9,9 +11,12 @@
 namespace
 {
 
-/// Minimum interval between messages about changed load; short compared to the
-/// duration of a request.
-constexpr std::chrono::milliseconds load_message_interval{50};
+/// Minimum interval between messages about changed load, and the number of
+/// neighbours up to which it applies. With more neighbours the interval grows
+/// with their number, so that the number of messages that an instance sends and
+/// receives does not.
+constexpr std::chrono::milliseconds min_load_interval{50};
+constexpr std::size_t min_interval_neighbours = 12;
 
 /// Weight of evidence reported by others, relative to own evidence. Neighbours
 /// share this instance's network paths. A failure seen by another domain may be
@@ -41,6 +46,10 @@
                [this](std::string const& host, domain_report const& report)
                {
                    handle(host, report);
+               },
+               [this](std::string const& host, departure_notice const& notice)
+               {
+                   handle(host, notice);
                }})
 {
 }
@@ -82,12 +91,15 @@
     for (auto const& item : neighbours_.live(now))
         live.push_back(item.host);
     auto const rank = neighbours_.own_rank(now).rank;
+    live_neighbours_ = live.size();
     remote_load_.retain(live, now);
     tracker_.assign_observer_rank(rank);
-    // Pass the load of all upstreams, not only of changed ones, since newly
-    // listed upstreams have no stored load yet.
-    tracker_.publish_remote_load(remote_load_);
-    remote_load_.take_changed();
+    auto const changed = remote_load_.take_changed();
+    // Newly listed upstreams have no stored load yet.
+    if (tracker_.take_new_upstreams())
+        tracker_.publish_remote_load(remote_load_);
+    else
+        tracker_.publish_remote_load(remote_load_, changed);
     if (is_message_due(now))
         send_now();
     // The instance with the lowest rank reports for the domain.
@@ -128,9 +140,35 @@
         socket_.send({other, self_.address.port}, bytes);
 }
 
+void neighbour_messenger::report_departure(routing::upstream const& departed)
+{
+    auto const& endpoint = departed.endpoint();
+    departures_.add({short_hash(endpoint.id), endpoint.incarnation});
+    send_departures();
+}
+
+void neighbour_messenger::send_departures()
+{
+    auto notice = departures_.take_notice();
+    if (!notice)
+        return;
+    auto const bytes = encode(*notice);
+    for (auto const& host : neighbours_.addresses())
+        socket_.send({host, self_.address.port}, bytes);
+}
+
+void neighbour_messenger::handle(std::string const& host,
+                                 departure_notice const& notice)
+{
+    // Only instances of the own failure domain send notices.
+    if (neighbours_.contains(host))
+        tracker_.mark_departed(notice.upstreams);
+}
+
 void neighbour_messenger::send_now()
 {
     last_sent_ = core::clock::now();
+    send_departures();
     auto const reports = tracker_.take_reports();
     relay_.add_evidence(reports);
     auto message = make_message(false, reports);
@@ -197,8 +235,17 @@
 {
     auto const elapsed = now - last_sent_;
     return tracker_.has_urgent_evidence() ||
-           (tracker_.has_load_change() && elapsed >= load_message_interval) ||
-           elapsed >= membership::neighbour_settings{}.heartbeat_interval;
+           elapsed >= membership::neighbour_settings{}.heartbeat_interval ||
+           (elapsed >= load_message_interval(live_neighbours_) &&
+            tracker_.has_load_change());
+}
+
+core::duration load_message_interval(std::size_t neighbours)
+{
+    core::duration const interval = min_load_interval;
+    return std::max(interval,
+                    interval * static_cast<std::int64_t>(neighbours) /
+                        static_cast<std::int64_t>(min_interval_neighbours));
 }
 
 } // namespace kumquatloom::hosting
--- a/kumquatloom/hosting/neighbour_messenger.hpp
+++ b/kumquatloom/hosting/neighbour_messenger.hpp
@@ -4,6 +4,7 @@
 #include <kumquatloom/core/clock.hpp>
 #include <kumquatloom/core/ids.hpp>
 #include <kumquatloom/hosting/announced_instance.hpp>
+#include <kumquatloom/hosting/departure_log.hpp>
 #include <kumquatloom/hosting/domain_relay.hpp>
 #include <kumquatloom/hosting/neighbour_message.hpp>
 #include <kumquatloom/hosting/neighbour_socket.hpp>
@@ -83,6 +84,9 @@
     /// Sends a message to all neighbours.
     void send_now();
 
+    /// Tells the neighbours that an upstream has announced its departure.
+    void report_departure(routing::upstream const& departed);
+
     membership::neighbour_table const& neighbours() const
     {
         return neighbours_;
@@ -91,6 +95,8 @@
 private:
     void handle(std::string const& host, neighbour_message const& message);
     void handle(std::string const& host, domain_report const& report);
+    void handle(std::string const& host, departure_notice const& notice);
+    void send_departures();
     void send_domain_reports(core::time_point now);
     void send_to(settings::endpoint const& target, bool wants_reply);
     neighbour_message make_message(bool wants_reply,
@@ -105,13 +111,21 @@
     remote_load_table remote_load_;
     /// Reports to and from other domains.
     domain_relay relay_;
+    /// Departures to report.
+    departure_log departures_;
     neighbour_socket socket_;
     /// Sequence number of the last message to any receiver.
     std::uint32_t sequence_ = 0;
     /// Time of the last message to all neighbours.
     core::time_point last_sent_;
+    /// Number of neighbours that were live at the last tick.
+    std::size_t live_neighbours_ = 0;
 };
 
+/// Minimum interval between messages about changed load, by the number of live
+/// neighbours.
+core::duration load_message_interval(std::size_t neighbours);
+
 } // namespace kumquatloom::hosting
 
 #endif
--- a/kumquatloom/hosting/neighbour_socket.cpp
+++ b/kumquatloom/hosting/neighbour_socket.cpp
@@ -15,6 +15,9 @@
 using boost::system::error_code;
 using udp = asio::ip::udp;
 
+/// Position of the version in a datagram, after the byte order.
+constexpr std::size_t version_offset = 1;
+
 } // namespace
 
 neighbour_socket::neighbour_socket(asio::io_context& context,
@@ -75,16 +78,30 @@
 
 bool neighbour_socket::dispatch(std::string_view bytes)
 {
-    auto const host = source_.address().to_string();
-    // The version byte differs between the two kinds of datagrams, so that at
-    // most one of them decodes.
-    if (auto const message = decode<neighbour_message>(bytes))
-        handlers_.message(host, *message);
-    else if (auto const report = decode<domain_report>(bytes))
-        handlers_.report(host, *report);
-    else
+    if (bytes.size() <= version_offset)
+        return false;
+    switch (static_cast<std::uint8_t>(bytes[version_offset]))
+    {
+    case message_version:
+        return dispatch(bytes, handlers_.message);
+    case domain_report_version:
+        return dispatch(bytes, handlers_.report);
+    case departure_notice_version:
+        return dispatch(bytes, handlers_.departures);
+    default:
         return false;
-    return true;
+    }
+}
+
+template <typename Message>
+bool neighbour_socket::dispatch(
+    std::string_view bytes,
+    std::function<void(std::string const& host, Message const&)> const& handler)
+{
+    auto const message = decode<Message>(bytes);
+    if (message)
+        handler(source_.address().to_string(), *message);
+    return message.has_value();
 }
 
 } // namespace kumquatloom::hosting
--- a/kumquatloom/hosting/neighbour_socket.hpp
+++ b/kumquatloom/hosting/neighbour_socket.hpp
@@ -1,6 +1,7 @@
 #ifndef KUMQUATLOOM_HOSTING_NEIGHBOUR_SOCKET_HPP
 #define KUMQUATLOOM_HOSTING_NEIGHBOUR_SOCKET_HPP
 
+#include <kumquatloom/hosting/departure_notice.hpp>
 #include <kumquatloom/hosting/domain_report.hpp>
 #include <kumquatloom/hosting/neighbour_message.hpp>
 #include <kumquatloom/settings/endpoint.hpp>
@@ -28,6 +29,8 @@
             message;
         std::function<void(std::string const& host, domain_report const&)>
             report;
+        std::function<void(std::string const& host, departure_notice const&)>
+            departures;
     };
 
     /// Binds to the address. Throws on failure.
@@ -65,6 +68,10 @@
 
     void receive();
     bool dispatch(std::string_view bytes);
+    template <typename Message>
+    bool dispatch(std::string_view bytes,
+                  std::function<void(std::string const& host,
+                                     Message const&)> const& handler);
 
     boost::asio::ip::udp::socket socket_;
     handlers handlers_;
--- a/kumquatloom/hosting/remote_load_table.cpp
+++ b/kumquatloom/hosting/remote_load_table.cpp
@@ -43,9 +43,8 @@
     std::erase_if(neighbours_,
                   [&](auto const& item)
                   {
-                      bool const unlisted =
-                          std::find(hosts.begin(), hosts.end(), item.first) ==
-                          hosts.end();
+                      bool const unlisted = !std::binary_search(
+                          hosts.begin(), hosts.end(), item.first);
                       if (unlisted)
                           subtract(item.second, neighbour_totals_);
                       return unlisted;
--- a/kumquatloom/hosting/remote_load_table.hpp
+++ b/kumquatloom/hosting/remote_load_table.hpp
@@ -34,8 +34,8 @@
                        std::vector<upstream_report> reports,
                        core::time_point now);
 
-    /// Removes the load of neighbours not in `hosts` and of domains without a
-    /// recent report.
+    /// Removes the load of neighbours not in `hosts`, which must be sorted, and
+    /// of domains without a recent report.
     void retain(std::vector<std::string> const& hosts, core::time_point now);
 
     /// Totals over the neighbours, without other domains.
--- a/kumquatloom/hosting/upstream_tracker.cpp
+++ b/kumquatloom/hosting/upstream_tracker.cpp
@@ -69,6 +69,7 @@
         item.in_own_domain = entry.distance == routing::pick_tier::own_domain;
         item.estimates = &tracked.estimates;
     }
+    has_new_upstreams_ = true;
     tracked.estimates.track(ids, now);
     tracked.estimates.assign_observer_index(observer_rank_);
     tracked.table = std::move(table);
@@ -107,8 +108,9 @@
         item.object->report_load(item.object->endpoint().slots, now);
     if (evidence > 0)
     {
+        item.object->cancel_trial();
         has_urgent_evidence_ = true;
-        update_standings(now);
+        update_crossed_standings(now);
     }
 }
 
@@ -127,10 +129,15 @@
                                        evidence_weight * report.evidence /
                                            log_odds_scale,
                                        now);
-        has_failure = has_failure || report.evidence > 0;
+        if (report.evidence <= 0)
+            continue;
+        // A trial of another instance has just failed, so that one of this
+        // instance would fail as well.
+        found->second.object->cancel_trial();
+        has_failure = true;
     }
     if (has_failure)
-        update_standings(now);
+        update_crossed_standings(now);
 }
 
 void upstream_tracker::adopt_estimates(
@@ -170,6 +177,23 @@
     return result;
 }
 
+void upstream_tracker::mark_departed(
+    std::vector<departed_upstream> const& departed)
+{
+    for (auto const& item : departed)
+    {
+        auto const found = upstreams_.find(item.upstream);
+        if (found == upstreams_.end())
+            continue;
+        auto const& endpoint = found->second.object->endpoint();
+        if (endpoint.incarnation == item.incarnation &&
+            found->second.object->mark_leaving())
+            core::log_info("upstream_left_by_neighbour",
+                           {{"upstream", endpoint.id.value()},
+                            {"service", endpoint.service.value()}});
+    }
+}
+
 void upstream_tracker::publish_remote_load(remote_load_table const& loads)
 {
     for (auto& [hash, item] : upstreams_)
@@ -191,30 +215,54 @@
         service.estimates.assign_observer_index(rank);
 }
 
+bool upstream_tracker::take_new_upstreams()
+{
+    return std::exchange(has_new_upstreams_, false);
+}
+
 void upstream_tracker::update_standings(core::time_point now)
 {
     for (auto& [name, service] : services_)
-    {
-        if (!service.table)
-            continue;
-        auto decisions = service.estimates.decide(now);
-        // A trial is a caller's request that may fail. To keep trials few, only
-        // instances in the upstream's domain make them; their observer ranks
-        // stagger the trials.
-        for (auto& decision : decisions)
-            decision.trial =
-                decision.trial && is_in_own_domain(decision.upstream);
-        // The lease expiry affects ejections only, and none of these decisions
-        // is one.
-        service.table->publish(decisions, now);
-        // Withdraw a requested trial if a neighbour's result has made it
-        // unnecessary.
-        for (auto const& decision : decisions)
-            if (!decision.trial)
-                service.table->find(decision.upstream)->cancel_trial();
-        for (auto const& decision : decisions)
-            log_standing(decision, name);
-    }
+        if (service.table)
+            update_standings(name, service, now);
+}
+
+void upstream_tracker::update_crossed_standings(core::time_point now)
+{
+    // Evidence arrives many times a second, and few pieces of it change the
+    // standing of an upstream.
+    for (auto& [name, service] : services_)
+        if (service.table && service.estimates.has_crossing())
+            update_standings(name, service, now);
+}
+
+void upstream_tracker::update_standings(core::service_name const& name,
+                                        tracked_service& service,
+                                        core::time_point now)
+{
+    auto const held = static_cast<std::size_t>(
+        std::count_if(service.table->entries().begin(),
+                      service.table->entries().end(),
+                      [now](routing::upstream_table::entry const& entry)
+                      {
+                          return entry.object->is_held(now);
+                      }));
+    auto decisions = service.estimates.decide(now, held);
+    // A trial is a caller's request that may fail. To keep trials few, only
+    // instances in the upstream's domain make them; their observer ranks
+    // stagger the trials.
+    for (auto& decision : decisions)
+        decision.trial = decision.trial && is_in_own_domain(decision.upstream);
+    // The lease expiry affects ejections only, and none of these decisions
+    // is one.
+    service.table->publish(decisions, now);
+    // Withdraw a requested trial if a neighbour's result has made it
+    // unnecessary.
+    for (auto const& decision : decisions)
+        if (!decision.trial)
+            service.table->find(decision.upstream)->cancel_trial();
+    for (auto const& decision : decisions)
+        log_standing(decision, name);
 }
 
 bool upstream_tracker::is_in_own_domain(core::upstream_id const& id) const
--- a/kumquatloom/hosting/upstream_tracker.hpp
+++ b/kumquatloom/hosting/upstream_tracker.hpp
@@ -5,6 +5,7 @@
 #include <kumquatloom/core/ids.hpp>
 #include <kumquatloom/health/attempt_report.hpp>
 #include <kumquatloom/health/health_estimate_table.hpp>
+#include <kumquatloom/hosting/departure_notice.hpp>
 #include <kumquatloom/hosting/upstream_estimate.hpp>
 #include <kumquatloom/hosting/upstream_report.hpp>
 #include <kumquatloom/routing/upstream.hpp>
@@ -61,6 +62,10 @@
     std::vector<upstream_estimate>
     avoided_estimates(core::time_point now) const;
 
+    /// Marks the listed upstreams that have announced their departure to
+    /// another instance as leaving.
+    void mark_departed(std::vector<departed_upstream> const& departed);
+
     /// Passes the load from other instances to all upstreams.
     void publish_remote_load(remote_load_table const& loads);
 
@@ -68,6 +73,9 @@
     void publish_remote_load(remote_load_table const& loads,
                              std::vector<std::uint32_t> const& changed);
 
+    /// Whether upstreams were added since the last call.
+    bool take_new_upstreams();
+
     /// Updates the rank of this instance among the live instances of its
     /// domain, which share the trial requests.
     void assign_observer_rank(std::size_t rank);
@@ -116,6 +124,10 @@
         health::health_estimate_table estimates;
     };
 
+    void update_crossed_standings(core::time_point now);
+    void update_standings(core::service_name const& name,
+                          tracked_service& service,
+                          core::time_point now);
     bool is_in_own_domain(core::upstream_id const& id) const;
     void log_standing(health::standing_decision const& decision,
                       core::service_name const& service);
@@ -131,6 +143,7 @@
     std::unordered_map<core::upstream_id, health::upstream_standing>
         logged_standings_;
     bool has_urgent_evidence_ = false;
+    bool has_new_upstreams_ = false;
 };
 
 /// 32-bit hash that identifies an upstream in messages.
