--- a/measure/main.cpp
+++ b/measure/main.cpp
@@ -64,7 +64,7 @@
 routing::balancing_policy parse_policy(std::string const& name)
 {
     using routing::balancing_policy;
-    if (name == "least-used")
+    if (name == "least-used" || name == "current")
         return balancing_policy::least_used;
     if (name == "least-used-of-all")
         return balancing_policy::least_used_of_all;
@@ -103,6 +103,28 @@
     return results;
 }
 
+/// Adds the options that choose the experiment, and those of "shared-choice".
+void add_experiment_options(cxxopts::Options& options)
+{
+    options.add_options()(
+        "experiment",
+        "fault, or shared-choice: many instances choose among the upstreams "
+        "of their failure domain",
+        cxxopts::value<std::string>()->default_value("fault"),
+        "NAME")("instances",
+                "instances of the experiment shared-choice",
+                cxxopts::value<unsigned>()->default_value("21"),
+                "N")("slots",
+                     "slots of an upstream in the experiment shared-choice",
+                     cxxopts::value<unsigned>()->default_value("4"),
+                     "N")(
+        "report-interval",
+        "milliseconds between two load reports in the experiment "
+        "shared-choice",
+        cxxopts::value<unsigned>()->default_value("50"),
+        "MS");
+}
+
 int run(int argc, char** argv)
 {
     cxxopts::Options options("kumquatloom_measure", description);
@@ -114,24 +136,7 @@
         options.add_options()(name, help, value, placeholder);
     };
     using text = std::string;
-    add("experiment",
-        "fault, or shared-choice: many instances choose among the upstreams "
-        "of their failure domain",
-        cxxopts::value<text>()->default_value("fault"),
-        "NAME");
-    add("instances",
-        "instances of the experiment shared-choice",
-        cxxopts::value<unsigned>()->default_value("21"),
-        "N");
-    add("slots",
-        "slots of an upstream in the experiment shared-choice",
-        cxxopts::value<unsigned>()->default_value("4"),
-        "N");
-    add("report-interval",
-        "milliseconds between two load reports in the experiment "
-        "shared-choice",
-        cxxopts::value<unsigned>()->default_value("50"),
-        "MS");
+    add_experiment_options(options);
     add("deployment",
         "mbao or carrelli",
         cxxopts::value<text>()->default_value("mbao"),
@@ -142,7 +147,8 @@
         cxxopts::value<text>()->default_value("none"),
         "NAME");
     add("policy",
-        "baseline or current; in the experiment shared-choice least-used, "
+        "baseline or current; in the experiment shared-choice least-used "
+        "(current), "
         "least-used-of-all or free-slots",
         cxxopts::value<text>()->default_value("current"),
         "NAME");
