Name what a refusal asks for and why a departure is believed

Cause: is_held of a result read like a state of the upstream, and the comment on departures spoke of both responses without saying which. Change: the member is asks_for_pause, the comment names the reason. Result: build and tests as before.

--- a/kumquatloom/entry/exchange_result.hpp
+++ b/kumquatloom/entry/exchange_result.hpp
@@ -49,8 +49,8 @@
     http_response response;
     /// Memory reserved for the response body.
     memory_budget::reservation memory;
-    /// Whether the response has status 503 and asks for a pause.
-    bool is_held = false;
+    /// Whether the response has status 503 and a Retry-After field.
+    bool asks_for_pause = false;
     /// Time from the first byte sent to the last byte received.
     core::duration latency{};
 };
--- a/kumquatloom/entry/request_execution.cpp
+++ b/kumquatloom/entry/request_execution.cpp
@@ -46,7 +46,7 @@
     {
     case exchange_status::answered:
         // An upstream that asks for a pause is overloaded, not unhealthy.
-        if (result.is_held)
+        if (result.asks_for_pause)
             return attempt_result::refused;
         return is_upstream_error(result) ? attempt_result::upstream_error
                                          : attempt_result::success;
--- a/kumquatloom/entry/upstream_exchange.cpp
+++ b/kumquatloom/entry/upstream_exchange.cpp
@@ -163,8 +163,8 @@
 {
     auto const status = parse_upstream_status(response, state_.dialect);
     auto& target = task_.target;
-    // Both responses of the connection are from the same process, so that a
-    // departure is believed from each.
+    // All responses on a connection come from the same process, so a departure
+    // is believed even from a response to an earlier request.
     if (status.leaving && target.mark_leaving())
     {
         state_.events.increment(entry_event::upstream_left);
@@ -177,7 +177,7 @@
     target.hold_until(core::clock::now() + *status.retry_after);
     state_.events.increment(entry_event::upstream_held);
     log_upstream_held(target, *status.retry_after);
-    result_.is_held = true;
+    result_.asks_for_pause = true;
 }
 
 bool upstream_exchange::is_stray(http_response const& response)
