Shorten three comments

Cause: comments of four lines on a slot, an interval and an experiment. Change: three lines each, same content. Result: format clean; comments only.

--- a/kumquatloom/hosting/neighbour_messenger.cpp
+++ b/kumquatloom/hosting/neighbour_messenger.cpp
@@ -12,9 +12,8 @@
 {
 
 /// Minimum interval between messages about changed load, and the number of
-/// neighbours up to which it applies. With more neighbours the interval grows
-/// with their number, so that the number of messages that an instance sends and
-/// receives does not.
+/// neighbours up to which it applies. Above, the interval grows with their
+/// number, so that the number of messages does not.
 constexpr std::chrono::milliseconds min_load_interval{50};
 constexpr std::size_t min_interval_neighbours = 12;
 
--- a/kumquatloom/routing/upstream.hpp
+++ b/kumquatloom/routing/upstream.hpp
@@ -165,10 +165,9 @@
             core::duration(trial_due_at_.load(std::memory_order_relaxed)));
     }
 
-    /// Whether it has a free slot as far as this instance knows: it is not
-    /// held, the attempts of this instance are below the concurrency limit, the
-    /// known attempts of all instances are below the number of slots, and no
-    /// recent load report says that its slots are full.
+    /// Whether it has a free slot as far as this instance knows: it is not held
+    /// or recently reported as full, and the known attempts are below the
+    /// number of slots, those of this instance below the concurrency limit.
     bool has_free_slot(core::time_point now) const;
 
     /// Fraction of its full load that it should receive, 0 to 1, from slow
--- a/measure/shared_choice.hpp
+++ b/measure/shared_choice.hpp
@@ -27,10 +27,9 @@
     std::uint64_t seed = 1;
 };
 
-/// Runs the experiment in simulated time and returns its figures: the arrivals
-/// at one upstream within 0.1 s, the times to a response, the part of the
-/// requests that were served, and the longest time for which an upstream got no
-/// request.
+/// Runs the experiment in simulated time and returns its figures: bursts at one
+/// upstream within 0.1 s, times to a response, the fraction of requests served,
+/// and the longest time for which an upstream got no request.
 boost::json::object run_shared_choice(shared_choice_scenario const& setup);
 
 } // namespace kumquatloom::measure
