--- a/kumquatloom/hosting/replica_snapshot.hpp
+++ b/kumquatloom/hosting/replica_snapshot.hpp
@@ -50,6 +50,16 @@
         bounded_texts<std::string, max_hosts, peer::max_address_bytes>
             bounded_addresses(hosts);
         archive(bounded_addresses);
+        if constexpr (Archive::is_loading::value)
+            load_lapsed(archive);
+        else
+            serialize_lapsed(archive);
+    }
+
+private:
+    template <typename Archive>
+    void serialize_lapsed(Archive& archive)
+    {
         bounded_texts<core::upstream_id,
                       max_listed_upstreams,
                       peer::max_name_bytes>
@@ -58,7 +68,21 @@
         archive(bounded_ids, wire_grace);
     }
 
-private:
+    /// Snapshots of builds before these fields end here.
+    template <typename Archive>
+    void load_lapsed(Archive& archive)
+    {
+        try
+        {
+            serialize_lapsed(archive);
+        }
+        catch (cereal::Exception const&)
+        {
+            lapsed.clear();
+            lapsed_grace = std::chrono::milliseconds::zero();
+        }
+    }
+
     /// Serializes texts with bounds on their number and sizes.
     template <typename Text, std::size_t MaxCount, std::size_t MaxBytes>
     class bounded_texts
--- a/unit_tests/hosting/store_replica_test.cpp
+++ b/unit_tests/hosting/store_replica_test.cpp
@@ -395,3 +395,21 @@
 
     CHECK(follower.upstreams().listing().size() == 1);
 }
+
+// Guards against an instance that cannot start from its neighbours' snapshots
+// while a fleet is upgraded and the store is down.
+TEST_CASE("a snapshot of an older build is accepted", "[hosting]")
+{
+    store_replica reader(parse);
+    reader.apply(page("1", {listed("a"), listed("b")}, {1, 10}), start, start);
+    auto snapshot = reader.snapshot(start);
+    auto const bytes = encode(snapshot);
+    // Older builds end before the number of lapsed upstreams and their time.
+    constexpr std::size_t count_bytes = 2;
+    auto const added = count_bytes + sizeof(std::uint32_t);
+    auto const older =
+        decode<replica_snapshot>(bytes.substr(0, bytes.size() - added));
+    REQUIRE(older);
+    CHECK(older->upstreams.size() == 2);
+    CHECK(older->lapsed.empty());
+}
