--- a/review/harness/harness.hpp
+++ b/review/harness/harness.hpp
@@ -183,6 +183,9 @@
         std::string zone;
         address listen;
         unsigned slots = 6;
+        /// Changes an answer before it is sent, as a faulty backend does.
+        std::function<std::string(std::string const& id, std::string answer)>
+            spoil{};
     };
 
     backend(settings given, store& platform, recorder& log);
@@ -192,6 +195,8 @@
     void report(std::string const& state);
     /// Removes the entry, and says in all later answers that it leaves.
     void leave_without_notice();
+    /// Makes the work take `factor` times as long, also that in progress.
+    void slow_down(double factor);
     /// All runs so far.
     std::vector<run_record> runs() const;
     /// Requests that arrived, with the time in milliseconds.
@@ -208,6 +213,7 @@
     std::uint64_t const born_;
     std::atomic<bool> leaving_{false};
     std::atomic<bool> stopping_{false};
+    std::atomic<double> slowness_{1};
     std::atomic<unsigned> sequence_{0};
     mutable std::mutex mutex_;
     std::condition_variable freed_;
--- a/review/harness/platform.cpp
+++ b/review/harness/platform.cpp
@@ -299,6 +299,11 @@
     log_.line("the entry of backend " + settings_.id + " is removed");
 }
 
+void backend::slow_down(double factor)
+{
+    slowness_ = factor;
+}
+
 std::vector<run_record> backend::runs() const
 {
     std::lock_guard const lock(mutex_);
@@ -366,9 +371,14 @@
     long work_ms = 10;
     if (auto const at = target.rfind("/w"); at != std::string::npos)
         work_ms = std::atol(target.c_str() + at + 2);
-    auto const until = clock::now() + milliseconds(work_ms);
+    auto const began = clock::now();
+    auto const is_done = [&]
+    {
+        return std::chrono::duration<double, std::milli>(clock::now() - began)
+                   .count() >= static_cast<double>(work_ms) * slowness_;
+    };
     bool dropped = false;
-    while (clock::now() < until && !stopping_ && !dropped)
+    while (!is_done() && !stopping_ && !dropped)
     {
         pause(5ms);
         // Like most backends, this one drops a request whose connection
@@ -395,11 +405,13 @@
     auto const leaving =
         leaving_ ? std::string("Server-Leaving: 1\r\nConnection: close\r\n")
                  : std::string();
-    return peer.send("HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\n" + leaving +
-                     "Response-Signature: 3e1b.07." + id +
-                     "\r\nContent-Length: " + std::to_string(body.size()) +
-                     "\r\n\r\n" + body) &&
-           leaving.empty();
+    auto answer = "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\n" + leaving +
+                  "Response-Signature: 3e1b.07." + id +
+                  "\r\nContent-Length: " + std::to_string(body.size()) +
+                  "\r\n\r\n" + body;
+    if (settings_.spoil)
+        answer = settings_.spoil(id, std::move(answer));
+    return peer.send(answer) && leaving.empty();
 }
 
 machine::machine(settings given,
