--- a/review/harness/platform.cpp
+++ b/review/harness/platform.cpp
@@ -9,6 +9,7 @@
 #include <review/harness/harness.hpp>
 #include <sstream>
 #include <stdexcept>
+#include <sys/prctl.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -478,6 +479,8 @@
         throw std::runtime_error("fork failed");
     if (process == 0)
     {
+        // The process ends with the case, however that ends.
+        ::prctl(PR_SET_PDEATHSIG, SIGKILL);
         int const out = ::open(
             output_.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
         ::dup2(out, STDOUT_FILENO);
