--- a/kumquatloom/hosting/hosted_instance.cpp
+++ b/kumquatloom/hosting/hosted_instance.cpp
@@ -611,6 +611,11 @@
     return implementation_->state.callers_port;
 }
 
+std::uint16_t hosted_instance::operators_port() const
+{
+    return implementation_->state.operators_port;
+}
+
 std::uint16_t hosted_instance::readiness_port() const
 {
     return implementation_->readiness_server
--- a/kumquatloom/hosting/hosted_instance.hpp
+++ b/kumquatloom/hosting/hosted_instance.hpp
@@ -62,6 +62,7 @@
 
     /// Listening ports; 0 for a page that is not served.
     std::uint16_t callers_port() const;
+    std::uint16_t operators_port() const;
     std::uint16_t readiness_port() const;
     std::uint16_t directory_port() const;
 
--- a/unit_tests/entry/entry_fixture.cpp
+++ b/unit_tests/entry/entry_fixture.cpp
@@ -148,9 +148,9 @@
 std::uint64_t entry_fixture::metric(std::string const& name)
 {
     auto const page = exchange_with_operators_port("GET", "/metrics").body();
-    auto const at = page.find('\n' + name + ' ');
-    REQUIRE(at != std::string::npos);
-    return std::stoull(page.substr(at + name.size() + 2));
+    auto const value = metric_value(page, name);
+    REQUIRE(value);
+    return *value;
 }
 
 void entry_fixture::wait_until(std::function<bool()> const& condition)
--- a/unit_tests/entry/raw_caller.cpp
+++ b/unit_tests/entry/raw_caller.cpp
@@ -29,10 +29,19 @@
     return text.append("\r\n").append(body);
 }
 
-raw_caller::raw_caller(std::uint16_t port)
+std::optional<std::uint64_t> metric_value(std::string const& page,
+                                          std::string const& name)
+{
+    auto const at = page.find('\n' + name + ' ');
+    if (at == std::string::npos)
+        return std::nullopt;
+    return std::stoull(page.substr(at + name.size() + 2));
+}
+
+raw_caller::raw_caller(std::uint16_t port, std::string const& host)
     : socket_(context_)
 {
-    socket_.connect({asio::ip::address_v4::loopback(), port});
+    socket_.connect({asio::ip::make_address(host), port});
 }
 
 void raw_caller::send(std::string_view bytes)
--- a/unit_tests/entry/raw_caller.hpp
+++ b/unit_tests/entry/raw_caller.hpp
@@ -24,12 +24,18 @@
                          std::string_view body = {},
                          std::string_view more_headers = {});
 
+/// The value of a metric on a metrics page; `name` includes its labels. Empty
+/// if the page doesn't have it.
+std::optional<std::uint64_t> metric_value(std::string const& page,
+                                          std::string const& name);
+
 /// A blocking client connection that sends arbitrary bytes.
 class raw_caller
 {
 public:
-    /// Connects to a loopback port.
-    explicit raw_caller(std::uint16_t port);
+    /// Connects to a port of a loopback address.
+    explicit raw_caller(std::uint16_t port,
+                        std::string const& host = "127.0.0.1");
 
     void send(std::string_view bytes);
 
--- a/unit_tests/platform/platform_fixture.cpp
+++ b/unit_tests/platform/platform_fixture.cpp
@@ -91,13 +91,14 @@
                                  std::uint16_t port,
                                  std::string const& state,
                                  std::string const& service,
-                                 unsigned born)
+                                 unsigned born,
+                                 unsigned slots)
 {
-    auto const entry = R"({"service":")" + service +
-                       R"(","address":"127.0.0.1:)" + std::to_string(port) +
-                       R"(","zone":"west","slots":6,"state":")" + state +
-                       R"(","warmupLeftS":0,"born":)" + std::to_string(born) +
-                       R"(,"seq":1})";
+    auto const entry =
+        R"({"service":")" + service + R"(","address":"127.0.0.1:)" +
+        std::to_string(port) + R"(","zone":"west","slots":)" +
+        std::to_string(slots) + R"(,"state":")" + state +
+        R"(","warmupLeftS":0,"born":)" + std::to_string(born) + R"(,"seq":1})";
     with_store(
         [&](stand_ins::platform_store_stand_in& store)
         {
@@ -105,17 +106,27 @@
         });
 }
 
+void platform_fixture::remove_entry(std::string const& id)
+{
+    with_store(
+        [&](stand_ins::platform_store_stand_in& store)
+        {
+            store.put("keyed.servers", id, "");
+        });
+}
+
 void platform_fixture::put_configuration(unsigned version,
                                          std::string const& rows,
-                                         unsigned header_timeout_s)
+                                         unsigned header_timeout_s,
+                                         std::string const& services)
 {
     auto const text =
         R"({"version":)" + std::to_string(version) +
         R"(,"routes":{"columns":["name","host","pathPrefix","kind",)"
         R"("timeoutS","targetLatencyS","priority","split","maxAttempts",)"
         R"("service"],"rows":[)" +
-        rows +
-        R"(]},"services":{"columns":["name"],"rows":[["shop"],["other"]]},)"
+        rows + R"(]},"services":{"columns":["name"],"rows":[)" + services +
+        R"(]},)"
         R"("limits":{"maxHeaderBytes":16384,"maxBodyBytes":1048576,)"
         R"("headerTimeoutS":)" +
         std::to_string(header_timeout_s) + R"(,"idleTimeoutS":15}})";
@@ -216,6 +227,14 @@
     return fetch_page(instance_->readiness_port(), "/readiness").result_int();
 }
 
+std::uint64_t platform_fixture::metric(std::string const& name)
+{
+    auto const page = fetch_page(instance_->operators_port(), "/metrics");
+    auto const value = metric_value(page.body(), name);
+    REQUIRE(value);
+    return *value;
+}
+
 std::string platform_fixture::directory()
 {
     return fetch_page(instance_->directory_port(),
--- a/unit_tests/platform/platform_fixture.hpp
+++ b/unit_tests/platform/platform_fixture.hpp
@@ -42,12 +42,19 @@
                    std::uint16_t port,
                    std::string const& state,
                    std::string const& service = "shop",
-                   unsigned born = 1);
+                   unsigned born = 1,
+                   unsigned slots = 6);
 
-    /// Writes a configuration; `rows` are the rows of its routes table.
-    void put_configuration(unsigned version,
-                           std::string const& rows,
-                           unsigned header_timeout_s = 3);
+    /// Removes the store entry of an upstream.
+    void remove_entry(std::string const& id);
+
+    /// Writes a configuration; `rows` are the rows of its routes table and
+    /// `services` those of its services table.
+    void
+    put_configuration(unsigned version,
+                      std::string const& rows,
+                      unsigned header_timeout_s = 3,
+                      std::string const& services = R"(["shop"],["other"])");
 
     /// Runs a function on the store's thread and waits for its end.
     void
@@ -73,6 +80,9 @@
     /// Returns the HTTP status of the readiness page.
     unsigned readiness();
 
+    /// Returns the value of a metric; `name` includes its labels.
+    std::uint64_t metric(std::string const& name);
+
     /// Returns the body of the directory page.
     std::string directory();
 
