Pass on only responses with a final status

Cause: check_response verified the id, the length, the digest and the signature of a response, but not that its status ends an exchange, and upstream_exchange took the first message on the connection for the response. The logged status and the event upstream-leftover ruled out that the parser mixes two messages.

Change: a status outside of 200 to 599 is a wrong response (verdict not-final-status), which also counts as evidence about the upstream. Up to four interim responses are skipped (event upstream-interim), as RFC 9110 asks for. 101 is wrong, since nobody asked for it. A connection whose interim response states a length or a coding is not used again. Responses that another instance forwards are checked as well.

--- a/kumquatloom/entry/entry_event.cpp
+++ b/kumquatloom/entry/entry_event.cpp
@@ -29,6 +29,8 @@
         return "upstream-leftover";
     case entry_event::upstream_stray:
         return "upstream-stray";
+    case entry_event::upstream_interim:
+        return "upstream-interim";
     case entry_event::late_answer:
         return "late-answer";
     case entry_event::upstream_left:
--- a/kumquatloom/entry/entry_event.hpp
+++ b/kumquatloom/entry/entry_event.hpp
@@ -25,6 +25,8 @@
     upstream_leftover,
     /// A response belongs to an earlier request on the connection.
     upstream_stray,
+    /// An interim response preceded the response to the request.
+    upstream_interim,
     /// A complete response arrived after the deadline of its attempt.
     late_answer,
     /// An upstream announced its departure in a response.
--- a/kumquatloom/entry/owner_forwarder.cpp
+++ b/kumquatloom/entry/owner_forwarder.cpp
@@ -1,4 +1,5 @@
 #include <kumquatloom/admission/header_filter.hpp>
+#include <kumquatloom/core/http_status.hpp>
 #include <kumquatloom/entry/header_views.hpp>
 #include <kumquatloom/entry/inbound_request.hpp>
 #include <kumquatloom/entry/instance_state.hpp>
@@ -98,9 +99,10 @@
         co_await http::async_read_header(stream, buffer, parser, as_result);
     inbound.response_memory =
         memory_budget::reservation(state_.buffered_answers);
-    // Instances always send Content-Length.
+    // Instances always send Content-Length and no interim responses.
     bool const accepted =
         !header_error && parser.content_length() &&
+        core::is_final_status(parser.get().result_int()) &&
         inbound.response_memory.grow_to(*parser.content_length());
     if (!accepted)
         co_return std::nullopt;
--- a/kumquatloom/entry/upstream_exchange.cpp
+++ b/kumquatloom/entry/upstream_exchange.cpp
@@ -1,5 +1,6 @@
 #include <kumquatloom/admission/header_filter.hpp>
 #include <kumquatloom/core/digest.hpp>
+#include <kumquatloom/core/http_status.hpp>
 #include <kumquatloom/entry/header_views.hpp>
 #include <kumquatloom/entry/inbound_request.hpp>
 #include <kumquatloom/entry/instance_state.hpp>
@@ -28,9 +29,9 @@
 namespace
 {
 
-/// Maximum number of responses to earlier requests that are skipped on one
-/// connection.
-constexpr unsigned max_stray_responses = 4;
+/// Maximum number of responses that are skipped before the response to the
+/// request: responses to earlier requests and interim responses.
+constexpr unsigned max_skipped_responses = 4;
 /// Largest header of an upstream's response.
 constexpr std::uint32_t response_header_limit = 64 * 1024;
 
@@ -65,6 +66,13 @@
     return core::request_id(std::string(sent.value_or(std::string_view())));
 }
 
+/// Whether the response states the framing of a body.
+bool states_framing(http_response const& response)
+{
+    return response.count(http::field::content_length) != 0 ||
+           response.count(http::field::transfer_encoding) != 0;
+}
+
 /// Whether the response has a SHA-256 digest of its body.
 bool has_digest(http_response const& response)
 {
@@ -122,17 +130,28 @@
     bool const written = co_await write(connection);
     if (!written)
         co_return;
-    for (unsigned strays = 0;; ++strays)
+    bool reusable = true;
+    for (unsigned skipped = 0;; ++skipped)
     {
         parser_type parser;
         bool const complete = co_await read(connection, parser);
         result_.latency = core::clock::now() - sent_at_;
         if (!complete)
             co_return;
-        // The response belongs to an earlier request; the response to this
-        // request may follow.
-        if (strays < max_stray_responses && is_stray(parser.get()))
+        // The response belongs to an earlier request or is an interim one; the
+        // response to this request may follow.
+        if (skipped < max_skipped_responses && is_stray(parser.get()))
+        {
+            reusable = false;
+            continue;
+        }
+        if (skipped < max_skipped_responses && is_interim(parser.get()))
+        {
+            // An interim response has no body. One that states its framing
+            // leaves the start of the next response uncertain.
+            reusable = reusable && !states_framing(parser.get());
             continue;
+        }
         auto const keep_for = keep_alive_timeout(parser.get());
         if (!verify_response(parser))
             co_return;
@@ -142,7 +161,7 @@
         if (result_.status == exchange_status::refused &&
             state_.dialect.keeps_request_id)
             connection.record_refusal(id_);
-        if (keep_alive && strays == 0 && connection.can_record_refusal() &&
+        if (keep_alive && reusable && connection.can_record_refusal() &&
             connection.is_reusable())
             lease.return_connection(keep_for);
         else if (keep_alive && connection.can_record_refusal())
@@ -188,6 +207,14 @@
     return true;
 }
 
+bool upstream_exchange::is_interim(http_response const& response)
+{
+    if (!core::is_interim_status(response.result_int()))
+        return false;
+    state_.events.increment(entry_event::upstream_interim);
+    return true;
+}
+
 asio::awaitable<bool> upstream_exchange::write(upstream_connection& connection)
 {
     auto const& request = task_.inbound.message;
--- a/kumquatloom/entry/upstream_exchange.hpp
+++ b/kumquatloom/entry/upstream_exchange.hpp
@@ -64,6 +64,7 @@
     void apply_status(http_response const& response);
     bool belongs_to_other_request(http_response const& response) const;
     bool is_stray(http_response const& response);
+    bool is_interim(http_response const& response);
     bool verify_response(parser_type& parser);
     bool fail(exchange_status status);
     bool fail(error_code error);
--- a/kumquatloom/request/response_check.cpp
+++ b/kumquatloom/request/response_check.cpp
@@ -1,4 +1,5 @@
 #include <kumquatloom/core/digest.hpp>
+#include <kumquatloom/core/http_status.hpp>
 #include <kumquatloom/core/mutation.hpp>
 #include <kumquatloom/request/content_digest.hpp>
 #include <kumquatloom/request/response_check.hpp>
@@ -29,6 +30,13 @@
     return number;
 }
 
+response_verdict check_status(upstream_response const& response)
+{
+    return core::is_final_status(response.status)
+               ? response_verdict::verified
+               : response_verdict::not_final_status;
+}
+
 response_verdict check_id(upstream_response const& response,
                           core::request_id const& expected,
                           wire_dialect const& dialect)
@@ -124,7 +132,8 @@
                                 core::request_id const& expected,
                                 wire_dialect const& dialect)
 {
-    for (auto const verdict : {check_id(response, expected, dialect),
+    for (auto const verdict : {check_status(response),
+                               check_id(response, expected, dialect),
                                check_length(response),
                                check_digest(response),
                                check_signature(response, dialect)})
--- a/kumquatloom/request/response_verdict.cpp
+++ b/kumquatloom/request/response_verdict.cpp
@@ -11,6 +11,8 @@
         return "verified";
     case response_verdict::refused:
         return "refused";
+    case response_verdict::not_final_status:
+        return "not-final-status";
     case response_verdict::missing_request_id:
         return "missing-request-id";
     case response_verdict::wrong_request_id:
--- a/kumquatloom/request/response_verdict.hpp
+++ b/kumquatloom/request/response_verdict.hpp
@@ -13,6 +13,8 @@
     verified,
     /// Verified, and it states that the upstream did not run the request.
     refused,
+    /// The status does not exist or does not end an exchange.
+    not_final_status,
     missing_request_id,
     wrong_request_id,
     missing_length,
--- a/unit_tests/entry/complete_responses_test.cpp
+++ b/unit_tests/entry/complete_responses_test.cpp
@@ -211,6 +211,95 @@
     CHECK(next->body() == "next");
 }
 
+// Guards against a status that ends no exchange, which leaves a caller waiting.
+TEST_CASE("a caller receives only final statuses", "[entry]")
+{
+    auto const post = request_text("POST", "/buy", "one");
+    std::string interim_fields;
+    std::string status = "102 Processing";
+    unsigned interim_responses = 1;
+    entry_fixture fixture;
+    // With one thread there is one connection pool.
+    fixture.settings.threads = 1;
+    auto& upstream = fixture.add_upstream(
+        [&](received_request const& request)
+        {
+            std::string bytes;
+            for (unsigned i = 0; i < interim_responses; ++i)
+                bytes += "HTTP/1.1 " + status + "\r\nKumquatloom-Request-Id: " +
+                         std::string(request["Kumquatloom-Request-Id"]) +
+                         "\r\n" + interim_fields + "\r\n";
+            return raw_reply{bytes + complete_response(request, "whole")};
+        });
+    fixture.start();
+
+    SECTION("interim responses before the final one are skipped")
+    {
+        interim_responses = 3;
+        for (auto const* const interim : {"100 Continue", "103 Early Hints"})
+        {
+            status = interim;
+            auto const response = fixture.exchange(post);
+            REQUIRE(response);
+            CHECK(response->result_int() == 200);
+            CHECK(response->body() == "whole");
+        }
+        CHECK(upstream.executions() == 2);
+        CHECK(upstream.connections() == 1);
+        CHECK(fixture.metric(
+                  "kumquatloom_events_total{event=\"upstream-interim\"}") == 6);
+    }
+
+    SECTION("one that states a length is skipped, and the connection closed")
+    {
+        interim_fields = "Content-Length: 0\r\n";
+        for (unsigned const count : {1U, 2U})
+        {
+            auto const response = fixture.exchange(post);
+            REQUIRE(response);
+            CHECK(response->result_int() == 200);
+            CHECK(response->body() == "whole");
+            CHECK(upstream.connections() == count);
+        }
+    }
+
+    SECTION("a switch of protocols that nobody asked for is no answer")
+    {
+        status = "101 Switching Protocols";
+        auto const response = fixture.exchange(post);
+        REQUIRE(response);
+        CHECK(response->result_int() == 502);
+        CHECK(outcome_of(*response) == "unknown");
+        CHECK(reason_of(*response) == "wrong-answer");
+    }
+
+    SECTION("a status outside of HTTP's range is no answer")
+    {
+        interim_fields = "Content-Length: 0\r\n";
+        for (auto const* const nonexistent : {"000 None", "099 X", "600 X"})
+        {
+            status = nonexistent;
+            auto const response = fixture.exchange(post);
+            REQUIRE(response);
+            CHECK(response->result_int() == 502);
+            CHECK(outcome_of(*response) == "unknown");
+            CHECK(reason_of(*response) == "wrong-answer");
+        }
+        CHECK(fixture.metric(
+                  "kumquatloom_answer_checks_total{verdict=\"not-final-"
+                  "status\"}") == 3);
+    }
+
+    SECTION("an upstream that sends nothing but interim responses is cut off")
+    {
+        interim_responses = 1000;
+        auto const response = fixture.exchange(post);
+        REQUIRE(response);
+        CHECK(response->result_int() == 502);
+        CHECK(reason_of(*response) == "wrong-answer");
+    }
+}
+
 // Guards against buffered responses that exhaust the memory of the process.
 TEST_CASE("the memory of buffered responses is bounded", "[entry]")
 {
--- a/unit_tests/request/response_check_test.cpp
+++ b/unit_tests/request/response_check_test.cpp
@@ -53,6 +53,18 @@
         CHECK(check({echoed}, "", 204) == response_verdict::verified);
     }
 
+    SECTION("a status that is not a final one is rejected")
+    {
+        for (unsigned const status :
+             {0U, 99U, 100U, 101U, 102U, 199U, 600U, 999U})
+            CHECK(check({echoed, length}, "body", status) ==
+                  response_verdict::not_final_status);
+        CHECK(check({echoed, length}, "body", 299) ==
+              response_verdict::verified);
+        CHECK(check({echoed, length}, "body", 599) ==
+              response_verdict::verified);
+    }
+
     SECTION("a missing, wrong or repeated request id is rejected")
     {
         CHECK(check({length}) == response_verdict::missing_request_id);
