Keep a dropped service up to date until its last request has ended

Cause: service_manager::refresh erased a service that the configuration no longer lists. Its queue and picker, which waiting requests keep alive, never got another list of upstreams.

Change: such a service is retired. It gets no new requests, but its upstreams, their health and their load stay up to date while a queue for it exists. Its requests are served while it has upstreams, and refused with 503 as soon as it has none. A service that returns keeps its queue. The queues of retired services are removed once no request uses them. Log lines service_retired and service_returned.

--- a/kumquatloom/entry/proxy_handler.hpp
+++ b/kumquatloom/entry/proxy_handler.hpp
@@ -37,10 +37,11 @@
                          admission::ticket_presence ticket);
 
     /// Closes idle upstream connections that were last used before
-    /// `unused_since`.
-    void close_idle(core::time_point unused_since)
+    /// `unused_since`, and removes the queues of retired services.
+    void sweep(core::time_point unused_since)
     {
         resources_.pools.sweep(unused_since);
+        resources_.queues.sweep();
     }
 
 private:
--- a/kumquatloom/entry/service_manager.cpp
+++ b/kumquatloom/entry/service_manager.cpp
@@ -1,3 +1,4 @@
+#include <kumquatloom/core/logging.hpp>
 #include <kumquatloom/entry/instance_state.hpp>
 #include <kumquatloom/entry/service_manager.hpp>
 #include <kumquatloom/health/ejection_limiter.hpp>
@@ -14,6 +15,9 @@
 
 /// Placeholder for the number of slots that the document gives for the service.
 constexpr unsigned slots_of_service = 0;
+/// References to the state of a service without a queue: from the manager and
+/// from the published table.
+constexpr unsigned references_without_queue = 2;
 
 } // namespace
 
@@ -59,23 +63,40 @@
     if (!document)
         return;
     auto const all = listed_upstreams();
-    bool changed =
-        std::erase_if(services_,
-                      [&](auto const& item)
-                      {
-                          return !document->services.contains(item.first);
-                      }) != 0;
+    for (auto const& [name, service] : services_)
+    {
+        bool const retired = !document->services.contains(name);
+        if (service->shared->retired.exchange(retired) != retired)
+            core::log_info(retired ? "service_retired" : "service_returned",
+                           {{"service", name.value()},
+                            {"document", document->version},
+                            {"waiting", service->shared->waiting.load()}});
+    }
+    bool changed = erase_retired();
     for (auto const& [name, settings] : document->services)
     {
         changed = changed || !services_.contains(name);
-        update_upstreams(find_or_add(name, settings), settings, all, now);
+        find_or_add(name, settings);
     }
+    // Requests of a retired service still wait for its upstreams, which may
+    // leave meanwhile.
+    for (auto const& [name, service] : services_)
+        update_upstreams(*service, all, now);
     if (changed)
         publish_services();
 }
 
+bool service_manager::drop_retired()
+{
+    bool const dropped = erase_retired();
+    if (dropped)
+        publish_services();
+    return dropped;
+}
+
 void service_manager::tick(core::time_point now)
 {
+    drop_retired();
     for (auto const& [name, service] : services_)
     {
         service->monitor.tick(now);
@@ -103,9 +124,8 @@
     return found == services_.end() ? nullptr : &found->second->monitor;
 }
 
-service_manager::managed_service&
-service_manager::find_or_add(core::service_name const& name,
-                             document::service_settings const& settings)
+void service_manager::find_or_add(core::service_name const& name,
+                                  document::service_settings const& settings)
 {
     auto& service = services_[name];
     if (!service)
@@ -114,7 +134,18 @@
         service->monitor.change_detection(
             health::outlier_detector_settings::for_level(settings.detection));
     service->settings = settings;
-    return *service;
+}
+
+bool service_manager::erase_retired()
+{
+    return std::erase_if(services_,
+                         [](auto const& item)
+                         {
+                             auto const& service = *item.second->shared;
+                             return service.retired &&
+                                    service.use_count() <=
+                                        references_without_queue;
+                         }) != 0;
 }
 
 void service_manager::publish_services()
@@ -146,10 +177,10 @@
 
 void service_manager::update_upstreams(
     managed_service& service,
-    document::service_settings const& settings,
     std::vector<routing::listed_upstream> const& all,
     core::time_point now)
 {
+    auto const& settings = service.settings;
     std::vector<routing::listed_upstream> listed;
     std::size_t total_slots = 0;
     for (auto const& item : all)
--- a/kumquatloom/entry/service_manager.hpp
+++ b/kumquatloom/entry/service_manager.hpp
@@ -32,6 +32,10 @@
     /// Applies the active document and the current upstream list.
     void refresh(core::time_point now);
 
+    /// Drops the services that the document has dropped and that have no more
+    /// requests. Returns whether there were any.
+    bool drop_retired();
+
     /// Evaluates the health evidence; called every
     /// health_monitor::tick_interval.
     void tick(core::time_point now);
@@ -49,19 +53,20 @@
 private:
     struct managed_service;
 
-    managed_service& find_or_add(core::service_name const& name,
-                                 document::service_settings const& settings);
+    void find_or_add(core::service_name const& name,
+                     document::service_settings const& settings);
+    bool erase_retired();
     void publish_services();
     std::vector<routing::listed_upstream> listed_upstreams() const;
     void update_upstreams(managed_service& service,
-                          document::service_settings const& settings,
                           std::vector<routing::listed_upstream> const& all,
                           core::time_point now);
     void evaluate(managed_service& service, core::time_point now);
 
     /// State shared by all threads of the instance.
     instance_state& state_;
-    /// Services of the active document.
+    /// Services of the active document, and those of earlier ones that still
+    /// have requests.
     std::map<core::service_name, std::unique_ptr<managed_service>> services_;
 };
 
--- a/kumquatloom/entry/service_state.hpp
+++ b/kumquatloom/entry/service_state.hpp
@@ -42,8 +42,8 @@
         by_upstream;
 };
 
-/// State of one service, shared by all threads. Requests keep it alive after
-/// the document drops the service.
+/// State of one service, shared by all threads. It is kept up to date until the
+/// last request has ended after the document has dropped the service.
 struct service_state : boost::intrusive_ref_counter<service_state>
 {
     /// Starts without upstreams. The counters must outlive the service.
@@ -80,13 +80,17 @@
     limits::latency_quantile latency;
     /// Concurrency limits of the current upstreams.
     core::rcu_cell<upstream_limits> limits;
+    /// Whether the document has dropped the service, so that it gets no new
+    /// requests.
+    std::atomic<bool> retired{false};
     /// Total slots of all upstreams that are not leaving.
     std::atomic<std::size_t> slots{0};
     /// Requests that wait for a slot.
     std::atomic<std::size_t> waiting{0};
 };
 
-/// A snapshot of the services of one document.
+/// A snapshot of the services of one document, and of earlier ones that still
+/// have requests.
 struct service_table : boost::intrusive_ref_counter<service_table>
 {
     /// Services by name.
--- a/kumquatloom/entry/slot_queue.cpp
+++ b/kumquatloom/entry/slot_queue.cpp
@@ -58,9 +58,9 @@
 {
     auto const now = core::clock::now();
     auto const give_up_at = wait_deadline(request, now);
-    // All upstreams have asked for a pause that lasts too long for the request.
-    if (is_unservable(give_up_at, now))
-        co_return core::failure(refusal_reason::overloaded);
+    auto const available_at = service_->picker.available_at(now);
+    if (auto const reason = unservable_reason(available_at, give_up_at, now))
+        co_return core::failure(*reason);
     waiter_pointer const self(new waiter(context_));
     self->give_up_at = give_up_at;
     auto pushed = queue_.push(request.organisation,
@@ -69,7 +69,7 @@
                               self);
     if (pushed.evicted)
     {
-        (*pushed.evicted)->evicted = true;
+        (*pushed.evicted)->reason = refusal_reason::queue_full;
         wake(**pushed.evicted);
     }
     if (!pushed.queued)
@@ -90,8 +90,7 @@
     self->unlink();
     if (self->assigned)
         co_return core::success(std::move(*self->assigned));
-    co_return core::failure(self->evicted ? refusal_reason::queue_full
-                                          : refusal_reason::overloaded);
+    co_return core::failure(self->reason);
 }
 
 void slot_queue::assign_slots()
@@ -100,8 +99,6 @@
     {
         auto const now = core::clock::now();
         auto chosen = service_->picker.choose({{}, false, ++selections_}, now);
-        // Without any upstream the requests stay queued until their deadline,
-        // because the instance list may lag behind.
         if (!chosen)
         {
             reject_unservable(now);
@@ -140,22 +137,34 @@
     return at == core::time_point::max() ? core::duration::zero() : at - now;
 }
 
-bool slot_queue::is_unservable(core::time_point give_up_at,
-                               core::time_point now) const
+std::optional<refusal_reason>
+slot_queue::unservable_reason(core::time_point available_at,
+                              core::time_point give_up_at,
+                              core::time_point now) const
 {
-    auto const at = service_->picker.available_at(now);
-    // Without any upstream the list may lag behind, so that requests wait.
-    return at != core::time_point::max() && at > now && at > give_up_at;
+    // Without any upstream the list may lag behind, so that requests wait. A
+    // retired service gets no upstreams any more.
+    if (available_at == core::time_point::max())
+        return service_->retired ? std::optional(refusal_reason::no_upstream)
+                                 : std::nullopt;
+    // All upstreams have asked for a pause that lasts too long for the request.
+    return available_at > now && available_at > give_up_at
+               ? std::optional(refusal_reason::overloaded)
+               : std::nullopt;
 }
 
 void slot_queue::reject_unservable(core::time_point now)
 {
-    auto const at = service_->picker.available_at(now);
-    if (at == core::time_point::max() || at <= now)
-        return;
+    auto const available_at = service_->picker.available_at(now);
     for (auto& item : waiters_)
-        if (at > item.give_up_at && !item.assigned)
-            wake(item);
+    {
+        auto const reason =
+            unservable_reason(available_at, item.give_up_at, now);
+        if (!reason || item.assigned)
+            continue;
+        item.reason = *reason;
+        wake(item);
+    }
 }
 
 core::time_point slot_queue::wait_deadline(slot_request const& request,
--- a/kumquatloom/entry/slot_queue.hpp
+++ b/kumquatloom/entry/slot_queue.hpp
@@ -101,9 +101,9 @@
         core::time_point give_up_at;
         /// The assigned upstream.
         std::optional<routing::pick> assigned;
-        /// Whether the request was evicted from the full queue in favour of
-        /// another organisation's request.
-        bool evicted = false;
+        /// Why the request is refused if it gets no upstream.
+        admission::refusal_reason reason =
+            admission::refusal_reason::overloaded;
         bool done = false;
     };
 
@@ -114,7 +114,10 @@
 
     std::optional<result> try_acquire(slot_request const& request);
     asio::awaitable<result> wait(slot_request request);
-    bool is_unservable(core::time_point give_up_at, core::time_point now) const;
+    std::optional<admission::refusal_reason>
+    unservable_reason(core::time_point available_at,
+                      core::time_point give_up_at,
+                      core::time_point now) const;
     void reject_unservable(core::time_point now);
     void schedule();
     static void wake(waiter& item);
--- a/kumquatloom/entry/slot_queues.cpp
+++ b/kumquatloom/entry/slot_queues.cpp
@@ -17,7 +17,7 @@
     if (!table)
         return nullptr;
     auto const found = table->services.find(service);
-    if (found == table->services.end())
+    if (found == table->services.end() || found->second->retired)
         return nullptr;
     auto& queue = queues_[service];
     if (!queue || &queue->service() != found->second.get())
@@ -25,4 +25,14 @@
     return queue;
 }
 
+void slot_queues::sweep()
+{
+    std::erase_if(queues_,
+                  [](auto const& item)
+                  {
+                      return item.second->service().retired &&
+                             item.second->use_count() == 1;
+                  });
+}
+
 } // namespace kumquatloom::entry
--- a/kumquatloom/entry/slot_queues.hpp
+++ b/kumquatloom/entry/slot_queues.hpp
@@ -25,12 +25,14 @@
     boost::intrusive_ptr<slot_queue>
     queue_for(core::service_name const& service);
 
+    /// Removes the queues of retired services that no request uses.
+    void sweep();
+
 private:
     asio::io_context& context_;
     /// State shared by all threads of the instance.
     instance_state& state_;
-    /// Queues by service. A service that was removed and added again has a new
-    /// state and gets a new queue.
+    /// Queues by service.
     std::unordered_map<core::service_name, boost::intrusive_ptr<slot_queue>>
         queues_;
 };
--- a/kumquatloom/entry/worker.cpp
+++ b/kumquatloom/entry/worker.cpp
@@ -83,7 +83,7 @@
     {
         sweep_timer_.expires_after(sweep_interval);
         co_await sweep_timer_.async_wait(as_result);
-        handler_.close_idle(core::clock::now() - max_idle_time);
+        handler_.sweep(core::clock::now() - max_idle_time);
     }
 }
 
--- a/kumquatloom/hosting/hosted_instance.cpp
+++ b/kumquatloom/hosting/hosted_instance.cpp
@@ -317,7 +317,9 @@
             }
             if (now >= next_sweep)
             {
-                handler.close_idle(now - idle_timeout);
+                handler.sweep(now - idle_timeout);
+                if (service_manager.drop_retired())
+                    track_upstreams(now);
                 next_sweep = now + idle_sweep_interval;
             }
             core::flush_log();
