Bound the memory of all messages that are being read

Reported by other operators: a faulty upstream sent bytes without end, and the requests of other callers ended with the process. Each connection has had its bounds since; the sum had not.

Cause: only bodies counted against the budget, while each connection may also buffer 128 KB of a header, a chunk header or a trailer. The budget was first come, first served, so that responses without end filled it and those of other requests, which had run, failed with 502. And glibc raises its threshold for mapped allocations when a large body is freed, after which bodies fragment the heap.

Change: read_message.hpp reads headers and bodies with a check after each step, and all bytes of a message count. An eighth of a budget is left to messages of up to 32 KB. Buffers of idle connections shrink. Allocations from 128 KB on are always mapped. A probe reads at most 64 KB of a response.

--- a/kumquatloom/cli/main.cpp
+++ b/kumquatloom/cli/main.cpp
@@ -2,6 +2,7 @@
 
 #include <exception>
 #include <iostream>
+#include <malloc.h>
 #include <platform/platform_command.hpp>
 
 namespace
@@ -9,6 +10,11 @@
 
 using namespace kumquatloom;
 
+/// Allocations from this size on are mapped on their own and returned when they
+/// are freed. Without a fixed value, glibc raises its threshold with the first
+/// large message that is freed, and later ones fragment the heap.
+constexpr int mapped_allocation_bytes = 128 * 1024;
+
 /// All commands: those of the program itself and those of the platform adapter.
 std::vector<cli::command> const& program_commands()
 {
@@ -61,6 +67,7 @@
 
 int main(int argc, char** argv)
 {
+    ::mallopt(M_MMAP_THRESHOLD, mapped_allocation_bytes);
     try
     {
         return run_command({argv + 1, argv + argc});
--- /dev/null
+++ b/kumquatloom/entry/buffered_size.hpp
@@ -0,0 +1,32 @@
+#ifndef KUMQUATLOOM_ENTRY_BUFFERED_SIZE_HPP
+#define KUMQUATLOOM_ENTRY_BUFFERED_SIZE_HPP
+
+#include <kumquatloom/log_service/receive_buffer.hpp>
+
+#include <algorithm>
+#include <cstddef>
+
+namespace kumquatloom::entry
+{
+
+/// Memory that a message takes while it is read, in bytes, beyond what every
+/// open connection may take: the receive buffer, as much again for the header
+/// fields that are parsed from it, and the body, for which a stated length
+/// counts from the start.
+template <typename Parser>
+std::size_t buffered_size(log_service::receive_buffer const& buffer,
+                          Parser const& parser)
+{
+    std::size_t body = parser.get().body().capacity();
+    if (parser.is_header_done() && !parser.is_done() && parser.content_length())
+        body = std::max<std::size_t>(body, *parser.content_length());
+    // Buffers of usual headers are part of the cost of a connection.
+    constexpr std::size_t connection_bytes = 4 * 1024;
+    auto const excess =
+        buffer.capacity() - std::min(buffer.capacity(), connection_bytes);
+    return body + 2 * excess;
+}
+
+} // namespace kumquatloom::entry
+
+#endif
--- a/kumquatloom/entry/caller_session.cpp
+++ b/kumquatloom/entry/caller_session.cpp
@@ -3,7 +3,7 @@
 #include <kumquatloom/entry/inbound_request.hpp>
 #include <kumquatloom/entry/instance_state.hpp>
 #include <kumquatloom/entry/proxy_handler.hpp>
-#include <kumquatloom/log_service/read_body.hpp>
+#include <kumquatloom/log_service/read_message.hpp>
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
--- a/kumquatloom/entry/memory_budget.hpp
+++ b/kumquatloom/entry/memory_budget.hpp
@@ -8,7 +8,9 @@
 namespace kumquatloom::entry
 {
 
-/// Limits the total memory of buffered responses across all threads.
+/// Limits the total memory of buffered messages across all threads. A fraction
+/// of it is left to small reservations, so that large messages, or messages
+/// without end, don't keep small ones out.
 class memory_budget
 {
 public:
@@ -43,13 +45,13 @@
                 budget_->used_.fetch_sub(bytes_, std::memory_order_relaxed);
         }
 
-        /// Grows the reservation to at least `bytes`; false if the budget is
-        /// exhausted.
+        /// Grows the reservation to at least `bytes`; false if that is more
+        /// than the budget allows now.
         bool grow_to(std::size_t bytes)
         {
             if (bytes <= bytes_)
                 return true;
-            if (budget_ == nullptr || !budget_->try_reserve(bytes - bytes_))
+            if (budget_ == nullptr || !budget_->try_grow(bytes_, bytes))
                 return false;
             bytes_ = bytes;
             return true;
@@ -80,13 +82,22 @@
     }
 
 private:
-    bool try_reserve(std::size_t bytes)
+    /// Size up to which a reservation is small.
+    static constexpr std::size_t small_bytes = 32 * 1024;
+    /// Reciprocal of the fraction of the limit that is left to small ones.
+    static constexpr std::size_t reserve_divisor = 8;
+
+    /// Grows a reservation of `from` bytes to `to` bytes.
+    bool try_grow(std::size_t from, std::size_t to)
     {
-        std::size_t const before =
-            used_.fetch_add(bytes, std::memory_order_relaxed);
-        if (before <= limit_ && bytes <= limit_ - before)
+        auto const growth = to - from;
+        auto const others =
+            used_.fetch_add(growth, std::memory_order_relaxed) - from;
+        auto const reserved = to > small_bytes ? limit_ / reserve_divisor : 0;
+        auto const available = limit_ - reserved;
+        if (others <= available && to <= available - others)
             return true;
-        used_.fetch_sub(bytes, std::memory_order_relaxed);
+        used_.fetch_sub(growth, std::memory_order_relaxed);
         return false;
     }
 
--- a/kumquatloom/entry/owner_forwarder.cpp
+++ b/kumquatloom/entry/owner_forwarder.cpp
@@ -1,17 +1,17 @@
 #include <kumquatloom/admission/header_filter.hpp>
 #include <kumquatloom/core/http_status.hpp>
+#include <kumquatloom/entry/buffered_size.hpp>
 #include <kumquatloom/entry/header_views.hpp>
 #include <kumquatloom/entry/inbound_request.hpp>
 #include <kumquatloom/entry/instance_state.hpp>
 #include <kumquatloom/entry/owner_forwarder.hpp>
-#include <kumquatloom/log_service/receive_buffer.hpp>
+#include <kumquatloom/log_service/read_message.hpp>
 #include <kumquatloom/request/header_names.hpp>
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/address.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
 
 #include <algorithm>
 #include <array>
@@ -95,19 +95,26 @@
     http::response_parser<http::string_body> parser;
     parser.body_limit(state_.settings.upstreams.answer_limit_bytes);
     parser.skip(inbound.message.method() == http::verb::head);
-    auto const [header_error, header_size] =
-        co_await http::async_read_header(stream, buffer, parser, as_result);
     inbound.response_memory =
         memory_budget::reservation(state_.buffered_answers);
+    auto const reserve = [&]
+    {
+        return inbound.response_memory.grow_to(buffered_size(buffer, parser));
+    };
+    auto const header_error =
+        co_await log_service::read_header(stream, buffer, parser, reserve);
     // Instances always send Content-Length and no interim responses.
-    bool const accepted =
-        !header_error && parser.content_length() &&
-        core::is_final_status(parser.get().result_int()) &&
-        inbound.response_memory.grow_to(*parser.content_length());
+    bool const accepted = !header_error && parser.content_length() &&
+                          core::is_final_status(parser.get().result_int()) &&
+                          reserve();
     if (!accepted)
         co_return std::nullopt;
-    auto const [error, size] =
-        co_await http::async_read(stream, buffer, parser, as_result);
+    auto const error = co_await log_service::read_body(
+        stream,
+        buffer,
+        parser,
+        state_.settings.upstreams.answer_limit_bytes,
+        reserve);
     if (error)
         co_return std::nullopt;
     auto response = parser.release();
--- a/kumquatloom/entry/upstream_exchange.cpp
+++ b/kumquatloom/entry/upstream_exchange.cpp
@@ -1,6 +1,7 @@
 #include <kumquatloom/admission/header_filter.hpp>
 #include <kumquatloom/core/digest.hpp>
 #include <kumquatloom/core/http_status.hpp>
+#include <kumquatloom/entry/buffered_size.hpp>
 #include <kumquatloom/entry/header_views.hpp>
 #include <kumquatloom/entry/inbound_request.hpp>
 #include <kumquatloom/entry/instance_state.hpp>
@@ -8,7 +9,7 @@
 #include <kumquatloom/entry/request_logger.hpp>
 #include <kumquatloom/entry/upstream_exchange.hpp>
 #include <kumquatloom/entry/upstream_status.hpp>
-#include <kumquatloom/log_service/read_body.hpp>
+#include <kumquatloom/log_service/read_message.hpp>
 #include <kumquatloom/request/content_digest.hpp>
 #include <kumquatloom/request/response_check.hpp>
 
@@ -16,7 +17,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/error.hpp>
 #include <boost/beast/http/error.hpp>
-#include <boost/beast/http/read.hpp>
+#include <boost/system/errc.hpp>
 
 #include <algorithm>
 #include <array>
@@ -242,36 +243,26 @@
 asio::awaitable<bool> upstream_exchange::read(upstream_connection& connection,
                                               parser_type& parser)
 {
+    auto const body_limit = state_.settings.upstreams.answer_limit_bytes;
     parser.header_limit(response_header_limit);
-    parser.body_limit(state_.settings.upstreams.answer_limit_bytes);
+    parser.body_limit(body_limit);
     if (task_.inbound.message.method() == http::verb::head)
         parser.skip(true);
-    auto const [error, size] = co_await http::async_read_header(
-        connection.stream(), connection.buffer(), parser, as_result);
+    result_.memory = memory_budget::reservation(state_.buffered_answers);
+    auto const reserve = [&]
+    {
+        return result_.memory.grow_to(
+            buffered_size(connection.buffer(), parser));
+    };
+    auto error = co_await log_service::read_header(
+        connection.stream(), connection.buffer(), parser, reserve);
     if (error)
         co_return fail(error);
     apply_status(parser.get());
-    co_return co_await read_body(connection, parser);
-}
-
-asio::awaitable<bool>
-upstream_exchange::read_body(upstream_connection& connection,
-                             parser_type& parser)
-{
-    result_.memory = memory_budget::reservation(state_.buffered_answers);
-    auto const length = parser.content_length();
-    if (length && !parser.is_done() && !result_.memory.grow_to(*length))
+    if (!reserve())
         co_return fail(exchange_status::answer_too_large);
-    auto const reserve_memory = [&]
-    {
-        return result_.memory.grow_to(parser.get().body().capacity());
-    };
-    auto const error = co_await log_service::read_body(
-        connection.stream(),
-        connection.buffer(),
-        parser,
-        state_.settings.upstreams.answer_limit_bytes,
-        reserve_memory);
+    error = co_await log_service::read_body(
+        connection.stream(), connection.buffer(), parser, body_limit, reserve);
     if (error)
         co_return fail(error);
     co_return true;
@@ -328,7 +319,8 @@
 {
     if (error == beast::error::timeout)
         return fail(exchange_status::timeout);
-    if (error == http::error::body_limit)
+    if (error == http::error::body_limit ||
+        error == boost::system::errc::not_enough_memory)
         return fail(exchange_status::answer_too_large);
     return fail(is_parse_error(error) ? exchange_status::wrong_answer
                                       : exchange_status::cut_short);
--- a/kumquatloom/entry/upstream_exchange.hpp
+++ b/kumquatloom/entry/upstream_exchange.hpp
@@ -59,8 +59,6 @@
     asio::awaitable<bool> write(upstream_connection& connection);
     asio::awaitable<bool> read(upstream_connection& connection,
                                parser_type& parser);
-    asio::awaitable<bool> read_body(upstream_connection& connection,
-                                    parser_type& parser);
     void apply_status(http_response const& response);
     bool belongs_to_other_request(http_response const& response) const;
     bool is_stray(http_response const& response);
--- a/kumquatloom/entry/upstream_pool.cpp
+++ b/kumquatloom/entry/upstream_pool.cpp
@@ -150,6 +150,7 @@
     std::optional<core::duration> keep_for)
 {
     auto const now = core::clock::now();
+    connection->buffer().release_excess();
     if (waiters_.empty())
         idle_.push_back({std::move(connection),
                          now,
--- a/kumquatloom/entry/upstream_prober.cpp
+++ b/kumquatloom/entry/upstream_prober.cpp
@@ -19,6 +19,8 @@
 constexpr std::chrono::seconds probe_interval{1};
 /// Time limit for one probe, including the connect.
 constexpr std::chrono::milliseconds probe_timeout{1000};
+/// Maximum size of the response's body. Many probes may run at once.
+constexpr std::size_t probe_body_limit = 64 * 1024;
 constexpr unsigned status_ok = 200;
 
 bool needs_probe(health::upstream_standing standing)
@@ -78,6 +80,7 @@
 {
     log_service::http_client_settings client_settings;
     client_settings.timeout = probe_timeout;
+    client_settings.max_body_bytes = probe_body_limit;
     log_service::http_client const client({target.host, target.port},
                                           client_settings);
     auto const response = co_await client.fetch("/healthz");
--- a/kumquatloom/log_service/http_client.cpp
+++ b/kumquatloom/log_service/http_client.cpp
@@ -1,5 +1,5 @@
 #include <kumquatloom/log_service/http_client.hpp>
-#include <kumquatloom/log_service/read_body.hpp>
+#include <kumquatloom/log_service/read_message.hpp>
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/ip/address.hpp>
@@ -9,7 +9,6 @@
 #include <boost/beast/core/error.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 
@@ -116,14 +115,14 @@
     http::response_parser<http::string_body> parser;
     parser.header_limit(max_header_bytes);
     parser.body_limit(max_body_bytes);
-    auto [header_error, received] =
-        co_await http::async_read_header(stream, buffer, parser, no_throw);
-    if (header_error)
-        co_return to_http_error(header_error);
     auto const accept_all = []
     {
         return true;
     };
+    auto const header_error =
+        co_await read_header(stream, buffer, parser, accept_all);
+    if (header_error)
+        co_return to_http_error(header_error);
     auto const body_error =
         co_await read_body(stream, buffer, parser, max_body_bytes, accept_all);
     if (body_error)
--- a/kumquatloom/log_service/receive_buffer.hpp
+++ b/kumquatloom/log_service/receive_buffer.hpp
@@ -21,6 +21,18 @@
         : boost::beast::flat_buffer(max_bytes)
     {
     }
+
+    /// Frees the memory if it is empty and has grown, so that a connection that
+    /// carried a long header takes little while it is idle.
+    void release_excess()
+    {
+        if (size() == 0 && capacity() > max_idle_bytes)
+            shrink_to_fit();
+    }
+
+private:
+    /// Memory that an empty buffer keeps for the next message.
+    static constexpr std::size_t max_idle_bytes = 8 * 1024;
 };
 
 } // namespace kumquatloom::log_service
