Accept late requests in a planned stop only if they end in time

Cause: a late request was accepted if twice the estimated response time fitted before the end. The estimate says nothing about a single request, whose route allows seconds.

Change: from 3 s after the signal on, a request is accepted only if its own deadline is before the end; otherwise it gets 503 at once. A request that waited for a slot is not sent, and none is retried, unless twice the estimated service time is left. The request path reads the stop as one object, stop_schedule, instead of a time.

Two assertions of stop_schedule_test stand with an unlimited deadline at one second after the signal, where the estimate alone decides; the same times later in the stop now need a deadline before the end, which is asserted in addition.

--- a/kumquatloom/entry/instance_state.hpp
+++ b/kumquatloom/entry/instance_state.hpp
@@ -15,6 +15,7 @@
 #include <kumquatloom/entry/service_policy.hpp>
 #include <kumquatloom/entry/service_state.hpp>
 #include <kumquatloom/limits/load_shedder.hpp>
+#include <kumquatloom/limits/stop_schedule.hpp>
 #include <kumquatloom/request/response_verdict.hpp>
 #include <kumquatloom/request/retry_counters.hpp>
 #include <kumquatloom/request/ticket_decider.hpp>
@@ -134,9 +135,8 @@
     /// Whether the instance is draining, which callers and peers see as
     /// leaving.
     std::atomic<bool> leaving{false};
-    /// When a stopping instance answers the requests that are still in
-    /// progress, in clock ticks since the epoch; 0 unless it stops.
-    std::atomic<core::duration::rep> answer_by{0};
+    /// The planned stop of the instance; null unless it stops.
+    core::rcu_cell<limits::stop_schedule> stop;
     /// The bound port for callers.
     std::atomic<std::uint16_t> callers_port{0};
     /// The bound port for operators.
--- a/kumquatloom/entry/proxy_handler.cpp
+++ b/kumquatloom/entry/proxy_handler.cpp
@@ -7,7 +7,6 @@
 #include <kumquatloom/entry/request_execution.hpp>
 #include <kumquatloom/entry/request_logger.hpp>
 #include <kumquatloom/entry/ticket_execution.hpp>
-#include <kumquatloom/limits/stop_schedule.hpp>
 
 namespace kumquatloom::entry
 {
@@ -157,11 +156,10 @@
     }
     // A request that would be cut at the end of a planned stop is left to
     // another instance.
-    core::time_point const answer_by(
-        core::duration(state_.answer_by.load(std::memory_order_relaxed)));
-    if (answer_by != core::time_point() &&
-        !limits::can_answer_in_time(
-            core::clock::now(), queue->estimated_response_time(), answer_by))
+    auto const stop = state_.stop.read();
+    if (stop && !stop->accepts(core::clock::now(),
+                               queue->estimated_response_time(),
+                               admitted.deadline.at()))
     {
         log_refusal(state_, inbound, refusal_reason::draining);
         co_return refuse(refusal_reason::draining,
--- a/kumquatloom/entry/request_execution.cpp
+++ b/kumquatloom/entry/request_execution.cpp
@@ -153,6 +153,13 @@
         co_return make_response();
     }
     auto const first_attempt_start = core::clock::now();
+    if (!has_time_for_attempt())
+    {
+        queue_.service().picker.cancel_attempt(chosen.value(),
+                                               first_attempt_start);
+        refusal_ = refusal_reason::draining;
+        co_return make_response();
+    }
     cancellation_callback on_cancel(
         [this]
         {
@@ -359,9 +366,8 @@
 
 bool request_execution::try_retry()
 {
-    if (answer_too_large_)
-        return false;
-    if (!attempts_.last_failure())
+    if (answer_too_large_ || !attempts_.last_failure() ||
+        !has_time_for_attempt())
         return false;
     if (!queue_.service().retries.decide(
             attempts_, core::clock::now(), admitted_.route.max_attempts))
@@ -373,6 +379,14 @@
     return true;
 }
 
+bool request_execution::has_time_for_attempt() const
+{
+    auto const stop = resources_.state.stop.read();
+    return !stop ||
+           stop->has_time(core::clock::now(),
+                          queue_.service().admission.assumed_service_time());
+}
+
 std::optional<routing::pick> request_execution::choose_other_upstream()
 {
     auto chosen = queue_.service().picker.choose(
--- a/kumquatloom/entry/request_execution.hpp
+++ b/kumquatloom/entry/request_execution.hpp
@@ -82,6 +82,7 @@
     void accept_response(attempt& item);
     void try_hedge();
     bool try_retry();
+    bool has_time_for_attempt() const;
     std::optional<routing::pick> choose_other_upstream();
     void cancel_attempts();
     http_response make_response();
--- a/kumquatloom/entry/slot_queue.cpp
+++ b/kumquatloom/entry/slot_queue.cpp
@@ -110,13 +110,7 @@
         // Every queued request has stopped waiting, so the slot is released.
         if (!next)
         {
-            service_->picker.finish_attempt(
-                chosen.value(),
-                {chosen.value().object->endpoint().id,
-                 health::attempt_result::cancelled,
-                 {},
-                 {}},
-                now);
+            service_->picker.cancel_attempt(chosen.value(), now);
             return;
         }
         (*next)->assigned = std::move(chosen.value());
--- a/kumquatloom/hosting/hosted_instance.cpp
+++ b/kumquatloom/hosting/hosted_instance.cpp
@@ -493,9 +493,9 @@
     /// Starts draining, and the grace period for it.
     void begin_leaving(std::string_view cause)
     {
-        if (!schedule)
-            schedule.emplace(core::clock::now(), settings.grace);
-        state.answer_by = schedule->answer_by().time_since_epoch().count();
+        if (!state.stop.read())
+            state.stop.publish(
+                new limits::stop_schedule(core::clock::now(), settings.grace));
         drain.begin(cause);
     }
 
@@ -511,6 +511,7 @@
     /// of the grace period.
     void answer_last_requests(core::time_point now)
     {
+        auto const schedule = state.stop.read();
         if (!schedule || requests_stopped || now < schedule->answer_by())
             return;
         requests_stopped = true;
@@ -524,6 +525,7 @@
     /// period is over.
     bool should_stop(core::time_point now) const
     {
+        auto const schedule = state.stop.read();
         if (schedule && now >= schedule->exit_at())
         {
             core::log_warning("stopped_with_requests",
@@ -577,8 +579,6 @@
     /// Whether the listener is closed and only requests in flight are
     /// completed.
     bool finishing = false;
-    /// The end of the planned stop, once it has begun.
-    std::optional<limits::stop_schedule> schedule;
     /// Whether the last requests in progress have been answered.
     bool requests_stopped = false;
 };
--- a/kumquatloom/routing/picker.cpp
+++ b/kumquatloom/routing/picker.cpp
@@ -345,6 +345,16 @@
     chosen.object->recorder()->record(report.result, report.latency);
 }
 
+void picker::cancel_attempt(pick const& chosen, core::time_point now)
+{
+    finish_attempt(chosen,
+                   {chosen.object->endpoint().id,
+                    health::attempt_result::cancelled,
+                    {},
+                    {}},
+                   now);
+}
+
 pick picker::start_attempt(boost::intrusive_ptr<upstream> const& object,
                            pick_tier tier)
 {
--- a/kumquatloom/routing/picker.hpp
+++ b/kumquatloom/routing/picker.hpp
@@ -51,6 +51,9 @@
                         health::attempt_report const& report,
                         core::time_point now);
 
+    /// Ends the attempt of a pick for which nothing was sent.
+    void cancel_attempt(pick const& chosen, core::time_point now);
+
     /// Numbers of attempts by tier.
     core::counter_family<pick_tier> const& picks_by_tier() const
     {
--- a/unit_tests/limits/stop_schedule_test.cpp
+++ b/unit_tests/limits/stop_schedule_test.cpp
@@ -34,17 +34,37 @@
         CHECK(answer_by >= begin + grace * 5 / 6);
     }
 
+    // The request may take as long as it likes.
+    auto const unlimited = core::time_point::max();
+
     SECTION("a request is left to other instances if there is no time for it")
     {
-        CHECK(can_answer_in_time(begin, 500ms, answer_by));
-        CHECK_FALSE(can_answer_in_time(answer_by - 900ms, 500ms, answer_by));
-        CHECK_FALSE(can_answer_in_time(answer_by, 0ms, answer_by));
-        CHECK_FALSE(can_answer_in_time(answer_by + 1s, 0ms, answer_by));
+        CHECK(schedule.accepts(begin, 500ms, unlimited));
+        CHECK_FALSE(schedule.accepts(answer_by - 900ms, 500ms, unlimited));
+        CHECK_FALSE(schedule.accepts(answer_by, 0ms, unlimited));
+        CHECK_FALSE(schedule.accepts(answer_by + 1s, 0ms, unlimited));
+        // Nor does a deadline before the end make up for the estimate.
+        CHECK_FALSE(
+            schedule.accepts(answer_by - 900ms, 500ms, answer_by - 1ms));
     }
 
     SECTION("a longer estimate needs more time")
     {
-        CHECK(can_answer_in_time(answer_by - 2s, 900ms, answer_by));
-        CHECK_FALSE(can_answer_in_time(answer_by - 2s, 1100ms, answer_by));
+        auto const early = begin + 1s;
+        auto const left = answer_by - early;
+        CHECK(schedule.accepts(early, left / 2, unlimited));
+        CHECK_FALSE(schedule.accepts(early, left / 2 + 100ms, unlimited));
+        CHECK(schedule.accepts(answer_by - 2s, 900ms, answer_by));
+        CHECK_FALSE(schedule.accepts(answer_by - 2s, 1100ms, answer_by));
+    }
+
+    SECTION("late in the grace time a request must end before its end even if "
+            "it takes all of its time")
+    {
+        auto const late = begin + 3100ms;
+        bool const has_time = answer_by - late >= 1s;
+        CHECK(schedule.accepts(late, 0ms, answer_by) == has_time);
+        CHECK_FALSE(schedule.accepts(late, 0ms, answer_by + 1ms));
+        CHECK_FALSE(schedule.accepts(late, 0ms, unlimited));
     }
 }
--- a/unit_tests/platform/late_stop_test.cpp
+++ b/unit_tests/platform/late_stop_test.cpp
@@ -55,6 +55,27 @@
         CHECK(upstream.executions() == 1);
     }
 
+    SECTION("a request that may take longer than the rest of the grace time is "
+            "refused late in it")
+    {
+        fixture.settings.grace = 8s;
+        fixture.start_ready();
+        auto const text = platform_request("POST", "/order/held", "kit");
+        auto const split = text.size() - 2;
+        raw_caller caller(fixture.instance().callers_port());
+        caller.send(text.substr(0, split));
+        auto const stopped_at = std::chrono::steady_clock::now();
+        fixture.instance().begin_shutdown();
+        // The service has been fast so far, but the request could take 20 s.
+        std::this_thread::sleep_until(stopped_at + 3600ms);
+        caller.send(text.substr(split));
+        auto const response = caller.receive();
+        REQUIRE(response);
+        CHECK(response->result_int() == 503);
+        CHECK((*response)["Connection"] == "close");
+        CHECK(upstream.executions() == 0);
+    }
+
     SECTION("a request that still runs at the end gets an honest response")
     {
         fixture.settings.grace = 3s;
