Bound the memory of all requests together

The process was killed, and the orders that were at work lost their answers.

Cause: a caller's body is held from its first byte until the response has been written, and nothing bounded the sum. The memory budget covered responses.

Change: a budget for the headers and bodies of requests (memory.buffered_requests_bytes, 55 % of the memory limit on the platform). A stated length is reserved before the body is read. A request that doesn't fit is refused as not run, with 503, the reason memory-exhausted and a Retry-After of 0.5 to 1.5 s; the rest of its body is discarded, so that the caller gets the response.

--- a/kumquatloom/admission/refusal_reason.cpp
+++ b/kumquatloom/admission/refusal_reason.cpp
@@ -29,6 +29,7 @@
     case refusal_reason::deadline_too_short:
     case refusal_reason::overloaded:
     case refusal_reason::queue_full:
+    case refusal_reason::memory_exhausted:
     case refusal_reason::no_upstream:
     case refusal_reason::no_document:
     case refusal_reason::draining:
@@ -87,6 +88,8 @@
         return "overloaded";
     case refusal_reason::queue_full:
         return "queue-full";
+    case refusal_reason::memory_exhausted:
+        return "memory-exhausted";
     case refusal_reason::no_upstream:
         return "no-upstream";
     case refusal_reason::no_document:
@@ -146,6 +149,7 @@
     case refusal_reason::deadline_too_short:
     case refusal_reason::overloaded:
     case refusal_reason::queue_full:
+    case refusal_reason::memory_exhausted:
     case refusal_reason::no_upstream:
     case refusal_reason::no_document:
     case refusal_reason::draining:
@@ -168,6 +172,7 @@
     case refusal_reason::bad_host:
     case refusal_reason::header_too_large:
     case refusal_reason::body_too_large:
+    case refusal_reason::memory_exhausted:
         return true;
     default:
         return false;
--- a/kumquatloom/admission/refusal_reason.hpp
+++ b/kumquatloom/admission/refusal_reason.hpp
@@ -38,6 +38,8 @@
     /// time, or was not run by the upstreams that it was sent to.
     overloaded,
     queue_full,
+    /// The request exceeds the limit on buffered requests.
+    memory_exhausted,
     no_upstream,
     /// No document is in force yet.
     no_document,
--- a/kumquatloom/entry/caller_session.cpp
+++ b/kumquatloom/entry/caller_session.cpp
@@ -1,5 +1,8 @@
+#include <kumquatloom/core/logging.hpp>
+#include <kumquatloom/entry/buffered_size.hpp>
 #include <kumquatloom/entry/caller_session.hpp>
 #include <kumquatloom/entry/folded_line.hpp>
+#include <kumquatloom/entry/header_views.hpp>
 #include <kumquatloom/entry/inbound_request.hpp>
 #include <kumquatloom/entry/instance_state.hpp>
 #include <kumquatloom/entry/proxy_handler.hpp>
@@ -11,6 +14,7 @@
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
+#include <boost/system/errc.hpp>
 
 #include <array>
 #include <cstdint>
@@ -28,11 +32,6 @@
 constexpr std::size_t read_size = 4096;
 /// Longest chunk extensions that are accepted.
 constexpr std::size_t max_chunk_extensions = 1024;
-/// Limits on the data that is read and discarded before the connection is
-/// closed. Closing with unread data would reset the connection before the
-/// caller has read the response.
-constexpr std::chrono::seconds linger_time{1};
-constexpr std::size_t linger_bytes = 256 * 1024;
 
 using admission::refusal_reason;
 
@@ -42,12 +41,16 @@
         return refusal_reason::body_too_large;
     if (error == http::error::header_limit)
         return refusal_reason::header_too_large;
+    if (error == boost::system::errc::not_enough_memory)
+        return refusal_reason::memory_exhausted;
     return refusal_reason::malformed_request;
 }
 
-/// Whether the parser rejected the request, as opposed to a connection error.
-bool is_parse_error(error_code error)
+/// Whether the request was rejected, as opposed to a connection error.
+bool is_rejection(error_code error)
 {
+    if (error == boost::system::errc::not_enough_memory)
+        return true;
     return error != http::error::end_of_stream &&
            error != http::error::partial_message &&
            error.category() ==
@@ -103,6 +106,7 @@
     bool keep_open = true;
     while (keep_open)
         keep_open = co_await self->serve_request();
+    self->memory_ = memory_budget::reservation();
     co_await self->close();
 }
 
@@ -135,6 +139,7 @@
     if (!arrived)
         co_return false;
     parser_type parser;
+    memory_ = memory_budget::reservation(state_.buffered_requests);
     bool const complete = co_await read_request(parser);
     if (!complete)
         co_return false;
@@ -148,6 +153,8 @@
         co_return true;
     if (finishing_ && !has_unread_data())
         co_return false;
+    memory_ = memory_budget::reservation();
+    buffer_.release_excess();
     stream_.expires_after(limits().idle_timeout);
     auto const [error, size] =
         co_await stream_.async_read_some(buffer_.prepare(read_size), as_result);
@@ -179,18 +186,28 @@
     };
     parser.on_chunk_header(bound_extensions);
     auto error = co_await read_header(parser);
+    auto const reserve = [&]
+    {
+        return reserve_memory(parser);
+    };
+    // A stated length is reserved before the body is read, so that a request
+    // that has begun is not refused later.
+    if (!error && !reserve())
+        error = make_error_code(boost::system::errc::not_enough_memory);
     if (!error)
     {
         bool const connected = co_await send_continue(parser);
         if (!connected)
             co_return false;
         stream_.expires_after(bounds.header_timeout);
-        auto const accept_all = []
-        {
-            return true;
-        };
         error = co_await log_service::read_body(
-            stream_, buffer_, parser, bounds.body_bytes, accept_all);
+            stream_, buffer_, parser, bounds.body_bytes, reserve);
+    }
+    if (error == boost::system::errc::not_enough_memory)
+    {
+        // The caller may read the response only after it has sent its body.
+        linger_bytes_ = bounds.body_bytes;
+        linger_time_ = bounds.header_timeout;
     }
     if (error)
         co_await refuse(error, parser);
@@ -218,6 +235,8 @@
         }
         if (buffer_.size() + read_size > buffer_.max_size())
             co_return http::error::header_limit;
+        if (!reserve_memory(parser))
+            co_return make_error_code(boost::system::errc::not_enough_memory);
         auto const [error, size] = co_await stream_.async_read_some(
             buffer_.prepare(read_size), as_result);
         buffer_.commit(size);
@@ -231,6 +250,11 @@
     co_return error_code();
 }
 
+bool caller_session::reserve_memory(parser_type const& parser)
+{
+    return memory_.grow_to(buffered_size(buffer_, parser));
+}
+
 document::caller_limits caller_session::limits() const
 {
     auto const document = state_.document.read();
@@ -306,12 +330,18 @@
     // sent.
     if (error == beast::error::timeout)
         state_.events.increment(entry_event::caller_too_slow);
-    if (!is_parse_error(error))
+    if (!is_rejection(error))
         co_return;
     auto const& ticket = state_.dialect.ticket;
     bool const has_ticket = !ticket.empty() && parser.get().count(ticket) != 0;
+    auto const reason = refusal_reason_of(error);
+    core::log_info("request_not_read",
+                   {{"reason", to_string(reason)},
+                    {"status", admission::http_status(reason)},
+                    {"target", as_view(parser.get().target())},
+                    {"buffered_bytes", state_.buffered_requests.used()}});
     auto response =
-        handler_.refuse(refusal_reason_of(error),
+        handler_.refuse(reason,
                         has_ticket ? admission::ticket_presence::present
                                    : admission::ticket_presence::absent);
     co_await write(response, false);
@@ -321,10 +351,10 @@
 {
     error_code error;
     stream_.socket().shutdown(tcp::socket::shutdown_send, error);
-    stream_.expires_after(linger_time);
+    stream_.expires_after(linger_time_);
     std::array<char, 4096> rest;
     std::size_t total = 0;
-    while (!error && total < linger_bytes)
+    while (!error && total < linger_bytes_)
     {
         auto const [read_error, size] =
             co_await stream_.async_read_some(asio::buffer(rest), as_result);
--- a/kumquatloom/entry/caller_session.hpp
+++ b/kumquatloom/entry/caller_session.hpp
@@ -1,8 +1,10 @@
 #ifndef KUMQUATLOOM_ENTRY_CALLER_SESSION_HPP
 #define KUMQUATLOOM_ENTRY_CALLER_SESSION_HPP
 
+#include <kumquatloom/core/clock.hpp>
 #include <kumquatloom/document/document.hpp>
 #include <kumquatloom/entry/http_types.hpp>
+#include <kumquatloom/entry/memory_budget.hpp>
 #include <kumquatloom/log_service/receive_buffer.hpp>
 
 #include <boost/beast/http/parser.hpp>
@@ -10,6 +12,8 @@
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 
+#include <chrono>
+#include <cstddef>
 #include <cstdint>
 
 namespace kumquatloom::entry
@@ -59,6 +63,7 @@
     bool has_unread_data();
     asio::awaitable<bool> read_request(parser_type& parser);
     asio::awaitable<error_code> read_header(parser_type& parser);
+    bool reserve_memory(parser_type const& parser);
     asio::awaitable<bool> send_continue(parser_type& parser);
     asio::awaitable<bool> respond(parser_type& parser);
     asio::awaitable<bool> write(http_response& response, bool keep_alive);
@@ -74,12 +79,19 @@
     instance_state& state_;
     /// Handles the requests.
     proxy_handler& handler_;
+    /// Memory reserved for the request until its response has been written.
+    memory_budget::reservation memory_;
     /// The request in progress; null between requests.
     inbound_request* current_ = nullptr;
     /// Whether no byte of the next request has been read.
     bool idle_ = true;
     /// Whether the connection closes after the current response.
     bool finishing_ = false;
+    /// Limits on the data that is read and discarded before the connection is
+    /// closed. Closing with unread data would reset the connection before the
+    /// caller has read the response.
+    std::size_t linger_bytes_ = 256 * 1024;
+    core::duration linger_time_ = std::chrono::seconds(1);
 };
 
 } // namespace kumquatloom::entry
--- a/kumquatloom/entry/instance_state.cpp
+++ b/kumquatloom/entry/instance_state.cpp
@@ -56,6 +56,7 @@
     , ticket_table(initial_policy.tickets)
     , tickets(ticket_issuer, ticket_keys, ticket_table)
     , buffered_answers(settings.memory.buffered_answers_bytes)
+    , buffered_requests(settings.memory.buffered_requests_bytes)
 {
 }
 
--- a/kumquatloom/entry/instance_state.hpp
+++ b/kumquatloom/entry/instance_state.hpp
@@ -118,8 +118,10 @@
     core::counter_family<entry_event> events;
     /// Counts ignored entries in the list of upstreams.
     core::counter_family<routing::entry_fault> ignored_entries;
-    /// Bounds the memory for buffered responses.
+    /// Bounds the memory for buffered responses of upstreams.
     memory_budget buffered_answers;
+    /// Bounds the memory for buffered requests of callers.
+    memory_budget buffered_requests;
     /// Time from the end of reading a request to the end of writing its
     /// response.
     latency_histogram request_latency;
--- a/kumquatloom/entry/metrics_page.cpp
+++ b/kumquatloom/entry/metrics_page.cpp
@@ -31,6 +31,8 @@
     add_gauge("kumquatloom_requests_in_flight", state.requests_in_flight);
     add_gauge("kumquatloom_buffered_answers_bytes",
               state.buffered_answers.used());
+    add_gauge("kumquatloom_buffered_requests_bytes",
+              state.buffered_requests.used());
     add_gauge("kumquatloom_leaving", state.leaving ? 1 : 0);
     auto const document = state.document.read();
     add_gauge("kumquatloom_document_version", document ? document->version : 0);
--- a/kumquatloom/entry/proxy_handler.cpp
+++ b/kumquatloom/entry/proxy_handler.cpp
@@ -6,6 +6,7 @@
 #include <kumquatloom/entry/proxy_handler.hpp>
 #include <kumquatloom/entry/request_execution.hpp>
 #include <kumquatloom/entry/request_logger.hpp>
+#include <kumquatloom/entry/retry_jitter.hpp>
 #include <kumquatloom/entry/ticket_execution.hpp>
 
 namespace kumquatloom::entry
@@ -24,6 +25,10 @@
 /// document or upstreams gets them: one read and the transfer to the instance.
 constexpr std::chrono::milliseconds refusal_retry_delay{300};
 
+/// Mean of the suggested retry delay while the memory for requests is
+/// exhausted: some service times, after which others have ended.
+constexpr std::chrono::milliseconds memory_retry_delay{1000};
+
 /// Delay after which a request that was refused before any attempt may be
 /// retried; empty if the reason is permanent.
 std::optional<core::duration> retry_delay(refusal_reason reason)
@@ -117,8 +122,10 @@
                                     admission::ticket_presence ticket)
 {
     state_.gate.count(reason);
-    return local_response(
-        reason, outcome_of(reason, ticket), retry_delay(reason));
+    auto delay = retry_delay(reason);
+    if (reason == refusal_reason::memory_exhausted)
+        delay = jittered(memory_retry_delay, resources_.random);
+    return local_response(reason, outcome_of(reason, ticket), delay);
 }
 
 asio::awaitable<http_response>
--- a/kumquatloom/entry/request_execution.cpp
+++ b/kumquatloom/entry/request_execution.cpp
@@ -4,13 +4,13 @@
 #include <kumquatloom/entry/instance_state.hpp>
 #include <kumquatloom/entry/local_response.hpp>
 #include <kumquatloom/entry/request_execution.hpp>
+#include <kumquatloom/entry/retry_jitter.hpp>
 #include <kumquatloom/entry/upstream_exchange.hpp>
 #include <kumquatloom/entry/upstream_status.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 
 #include <algorithm>
-#include <random>
 #include <utility>
 
 namespace kumquatloom::entry
@@ -23,10 +23,6 @@
 using health::attempt_result;
 using request::retry_reason;
 
-/// Range of the random factor on the retry delay that refused callers are
-/// given.
-constexpr double min_jitter = 0.5;
-constexpr double max_jitter = 1.5;
 /// Smallest mean retry delay. With less, refused callers would return before
 /// any slot is free.
 constexpr std::chrono::milliseconds min_retry_delay{100};
@@ -447,15 +443,12 @@
                      queue_.waiting());
     if (outcome != request::outcome::not_run)
         return local_response(reason, outcome);
-    // Jitter keeps callers that were refused together from returning together.
-    std::uniform_real_distribution<double> jitter(min_jitter, max_jitter);
     auto const mean_delay = std::max<core::duration>(
         queue_.estimated_response_time(), min_retry_delay);
     return local_response(reason,
                           outcome,
                           queue_.time_until_available() +
-                              std::chrono::duration_cast<core::duration>(
-                                  mean_delay * jitter(resources_.random)));
+                              jittered(mean_delay, resources_.random));
 }
 
 refusal_reason request_execution::final_reason() const
--- a/kumquatloom/entry/status_page.cpp
+++ b/kumquatloom/entry/status_page.cpp
@@ -93,6 +93,7 @@
     page["caller_connections"] = state.caller_connections.load();
     page["requests_in_flight"] = state.requests_in_flight.load();
     page["buffered_answers_bytes"] = state.buffered_answers.used();
+    page["buffered_requests_bytes"] = state.buffered_requests.used();
     page["requests_received"] =
         state.events.value(entry_event::request_received);
     auto const& outcomes = state.retry_counters.outcomes;
--- a/kumquatloom/hosting/hosted_instance.cpp
+++ b/kumquatloom/hosting/hosted_instance.cpp
@@ -72,6 +72,10 @@
 /// Limits for requests until a configuration states its own.
 constexpr std::size_t max_header_bytes = 64 * 1024;
 constexpr std::size_t max_body_bytes = 64 * 1024 * 1024;
+/// Shares of the memory limit for buffered responses and requests. The rest is
+/// for the state of the instance and of idle connections.
+constexpr std::size_t answers_memory_percent = 25;
+constexpr std::size_t requests_memory_percent = 55;
 /// File descriptors reserved for uses other than callers' connections.
 constexpr std::size_t reserved_descriptors = 1000;
 
@@ -88,7 +92,10 @@
         std::min(given.descriptors / 2, reserved_descriptors);
     result.callers.entries_ttl = std::chrono::milliseconds::zero();
     result.upstreams.connections_per_upstream = connections_per_upstream;
-    result.memory.buffered_answers_bytes = given.memory_bytes / 4;
+    result.memory.buffered_answers_bytes =
+        given.memory_bytes * answers_memory_percent / 100;
+    result.memory.buffered_requests_bytes =
+        given.memory_bytes * requests_memory_percent / 100;
     result.threads = 1;
     return result;
 }
--- a/kumquatloom/settings/instance_settings.cpp
+++ b/kumquatloom/settings/instance_settings.cpp
@@ -207,6 +207,11 @@
                                mebibyte,
                                16 * gibibyte,
                                result.memory.buffered_answers_bytes);
+            result.memory.buffered_requests_bytes =
+                part.number_or("buffered_requests_bytes",
+                               mebibyte,
+                               16 * gibibyte,
+                               result.memory.buffered_requests_bytes);
         },
         false);
     result.threads =
@@ -276,7 +281,8 @@
     "answer_limit_bytes": 4194304
   },
   "memory": {
-    "buffered_answers_bytes": 67108864
+    "buffered_answers_bytes": 67108864,
+    "buffered_requests_bytes": 67108864
   },
   "threads": 2,
   "log_level": "info"
--- a/kumquatloom/settings/instance_settings.hpp
+++ b/kumquatloom/settings/instance_settings.hpp
@@ -110,6 +110,8 @@
 {
     /// Maximum total size of buffered responses.
     std::size_t buffered_answers_bytes = 64 * 1024 * 1024;
+    /// Maximum total size of buffered requests.
+    std::size_t buffered_requests_bytes = 64 * 1024 * 1024;
 };
 
 /// All settings of one entry instance.
--- a/unit_tests/platform/process_memory_test.cpp
+++ b/unit_tests/platform/process_memory_test.cpp
@@ -21,6 +21,8 @@
 constexpr std::size_t megabyte = 1000 * 1000;
 constexpr unsigned endless_upstreams = 24;
 constexpr unsigned endless_callers = 200;
+constexpr unsigned sending_callers = 40;
+constexpr unsigned connections_of_caller = 10;
 constexpr unsigned sound_requests = 100;
 
 std::string identifying_fields(received_request const& request)
@@ -142,6 +144,44 @@
         CHECK(successes == 0);
     }
 
+    SECTION("from callers")
+    {
+        std::string const head =
+            "POST /order/1 HTTP/1.1\r\nHost: shop.example\r\n"
+            "Request-Id: 9c41d07be2a35f68\r\nDeadline-Ms: 20000\r\n";
+        std::string const incomplete_body(960 * 1024, 'x');
+        std::vector<std::string> const beginnings{
+            head + "Content-Length: 1048576\r\n\r\n",
+            head + "Transfer-Encoding: chunked\r\n\r\n100000\r\n",
+            head + "Transfer-Encoding: chunked\r\n\r\n5;",
+            head + "X: "};
+        std::atomic<unsigned> sent{0};
+        for (unsigned number = 0; number < sending_callers; ++number)
+            callers.emplace_back(
+                [&, number]
+                {
+                    std::vector<std::unique_ptr<raw_caller>> connections;
+                    for (unsigned i = 0; i < connections_of_caller; ++i)
+                    {
+                        connections.push_back(std::make_unique<raw_caller>(
+                            program_process::callers_port, program.host()));
+                        auto const part = (number + i) % beginnings.size();
+                        connections.back()->send(beginnings[part] +
+                                                 incomplete_body);
+                        ++sent;
+                    }
+                    while (!ending)
+                        std::this_thread::sleep_for(
+                            std::chrono::milliseconds(10));
+                });
+        platform_fixture::wait_until(
+            [&]
+            {
+                return sent == sending_callers * connections_of_caller;
+            });
+        CHECK(sound_requests_served(program) == sound_requests);
+    }
+
     ending = true;
     for (auto& caller : callers)
         caller.join();
