Withdraw requests from upstreams that were removed

And upstream_table::build dropped the object of a removed upstream without marking it, so that the check before the first byte passed.

Change: an upstream that the list drops or replaces is marked as leaving. The attempts of an instance at one upstream are limited to its connections; further requests wait in the queue of the service. Waits for a connection end as soon as the upstream is leaving, and its idle connections are closed.

--- a/kumquatloom/entry/proxy_handler.hpp
+++ b/kumquatloom/entry/proxy_handler.hpp
@@ -36,6 +36,13 @@
     http_response refuse(admission::refusal_reason reason,
                          admission::ticket_presence ticket);
 
+    /// Withdraws the requests that wait for connections to upstreams that are
+    /// leaving.
+    void withdraw_from_leaving()
+    {
+        resources_.pools.withdraw_leaving();
+    }
+
     /// Closes idle upstream connections that were last used before
     /// `unused_since`, and removes the queues of retired services.
     void sweep(core::time_point unused_since)
--- a/kumquatloom/entry/service_manager.cpp
+++ b/kumquatloom/entry/service_manager.cpp
@@ -5,6 +5,7 @@
 #include <kumquatloom/health/ejection_view.hpp>
 #include <kumquatloom/health/evaluate_standings.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace kumquatloom::entry
@@ -199,19 +200,31 @@
                                        listed,
                                        {self.failure_domain, self.region},
                                        now);
+    // Requests beyond the number of connections wait in the queue of the
+    // service, where another upstream may become free, and not for a connection
+    // to one upstream.
+    auto const connections = static_cast<unsigned>(
+        state_.settings.upstreams.connections_per_upstream);
     // Upstreams that remain keep their adapted concurrency limits.
     auto const previous_limits = service.shared->limits.read();
     boost::intrusive_ptr<upstream_limits> limits(new upstream_limits);
     for (auto const& entry : table->entries())
     {
-        if (!state_.policy.adaptive_concurrency)
-            break;
         auto const* const key = entry.object.get();
+        if (!state_.policy.adaptive_concurrency)
+        {
+            entry.object->limit_concurrency(
+                std::min(entry.object->endpoint().slots, connections));
+            continue;
+        }
         auto& limit = limits->by_upstream[key];
         if (previous_limits && previous_limits->by_upstream.contains(key))
+        {
             limit = previous_limits->by_upstream.at(key);
-        else
-            limit = new upstream_limit(settings.slots);
+            continue;
+        }
+        limit = new upstream_limit(std::min(settings.slots, connections));
+        entry.object->limit_concurrency(limit->concurrency.limit());
     }
     service.shared->slots = total_slots;
     service.shared->limits.publish(std::move(limits));
--- a/kumquatloom/entry/upstream_pool.cpp
+++ b/kumquatloom/entry/upstream_pool.cpp
@@ -48,10 +48,10 @@
     auto connection = take_idle(max_idle);
     if (!connection)
     {
-        bool const granted =
+        auto const failure =
             co_await wait_for_permit(cancel, deadline, connection);
-        if (!granted)
-            co_return core::failure(exchange_status::no_connection);
+        if (failure)
+            co_return core::failure(*failure);
     }
     if (connection && connection->is_reusable())
     {
@@ -83,7 +83,7 @@
     return nullptr;
 }
 
-asio::awaitable<bool>
+asio::awaitable<std::optional<exchange_status>>
 upstream_pool::wait_for_permit(cancellation& cancel,
                                core::time_point deadline,
                                std::unique_ptr<upstream_connection>& connection)
@@ -91,7 +91,7 @@
     if (open_ < limit_)
     {
         ++open_;
-        co_return true;
+        co_return std::nullopt;
     }
     waiter self(context_);
     waiters_.push_back(self);
@@ -104,7 +104,7 @@
     cancel.add_callback(on_cancel);
     co_await self.timer.async_wait(as_result);
     connection = std::move(self.connection);
-    co_return self.granted;
+    co_return self.failure;
 }
 
 asio::awaitable<core::result<upstream_pool::lease, exchange_status>>
@@ -145,6 +145,16 @@
         release_permit();
 }
 
+void upstream_pool::withdraw_waiters()
+{
+    for (auto& item : waiters_)
+    {
+        item.failure = exchange_status::withdrawn;
+        item.timer.cancel();
+    }
+    waiters_.clear();
+}
+
 void upstream_pool::return_connection(
     std::unique_ptr<upstream_connection> connection,
     std::optional<core::duration> keep_for)
@@ -172,7 +182,7 @@
 {
     waiter& next = waiters_.front();
     waiters_.pop_front();
-    next.granted = true;
+    next.failure.reset();
     next.connection = std::move(connection);
     next.timer.cancel();
 }
--- a/kumquatloom/entry/upstream_pool.hpp
+++ b/kumquatloom/entry/upstream_pool.hpp
@@ -64,7 +64,7 @@
 
     /// Acquires a reusable pooled connection that was idle for at most
     /// `max_idle`, or a new one. While all are in use, waits for one until the
-    /// deadline or cancellation.
+    /// deadline, cancellation or withdraw_waiters().
     asio::awaitable<core::result<lease, exchange_status>>
     acquire(cancellation& cancel,
             core::time_point deadline,
@@ -74,6 +74,15 @@
     /// have expired, or that the upstream closed.
     void close_idle(core::time_point unused_since);
 
+    /// Ends the waits for a connection, because the upstream gets nothing new.
+    void withdraw_waiters();
+
+    /// Number of exchanges that wait for a connection.
+    std::size_t waiting() const
+    {
+        return waiters_.size();
+    }
+
     /// Number of connections that are open or being opened.
     std::size_t open() const
     {
@@ -100,8 +109,9 @@
 
         /// Expires when the wait ends.
         asio::steady_timer timer;
-        /// Whether another exchange handed over its permit.
-        bool granted = false;
+        /// Why there is no permit; nothing if another exchange has handed over
+        /// its own.
+        std::optional<exchange_status> failure = exchange_status::no_connection;
         /// The connection that was handed over with the permit; null if that
         /// connection was closed.
         std::unique_ptr<upstream_connection> connection;
@@ -122,7 +132,7 @@
     };
 
     std::unique_ptr<upstream_connection> take_idle(core::duration max_idle);
-    asio::awaitable<bool>
+    asio::awaitable<std::optional<exchange_status>>
     wait_for_permit(cancellation& cancel,
                     core::time_point deadline,
                     std::unique_ptr<upstream_connection>& connection);
--- a/kumquatloom/entry/upstream_pools.cpp
+++ b/kumquatloom/entry/upstream_pools.cpp
@@ -33,8 +33,20 @@
     return pool;
 }
 
+void upstream_pools::withdraw_leaving()
+{
+    for (auto const& [key, item] : pools_)
+    {
+        if (!item.target->is_leaving())
+            continue;
+        item.pool->withdraw_waiters();
+        item.pool->close_idle(core::time_point::max());
+    }
+}
+
 void upstream_pools::sweep(core::time_point unused_since)
 {
+    withdraw_leaving();
     for (auto const& [key, item] : pools_)
         item.pool->close_idle(unused_since);
     std::erase_if(pools_,
--- a/kumquatloom/entry/upstream_pools.hpp
+++ b/kumquatloom/entry/upstream_pools.hpp
@@ -35,6 +35,10 @@
     /// removes unused pools without connections.
     void sweep(core::time_point unused_since);
 
+    /// Closes the idle connections to upstreams that are leaving, and ends the
+    /// waits for their connections.
+    void withdraw_leaving();
+
 private:
     /// A pool and its upstream, which it keeps alive, so that no other upstream
     /// gets the address that is the key.
--- a/kumquatloom/hosting/hosted_instance.cpp
+++ b/kumquatloom/hosting/hosted_instance.cpp
@@ -389,6 +389,7 @@
         if (change.document_changed)
             state.document.publish(document);
         service_manager.refresh(now);
+        handler.withdraw_from_leaving();
         track_upstreams(now);
         if (change.document_changed)
             // Publish the gate last: it admits requests to the services updated
--- a/kumquatloom/routing/upstream_table.cpp
+++ b/kumquatloom/routing/upstream_table.cpp
@@ -49,8 +49,12 @@
                      {
                          return left.distance < right.distance;
                      });
-    if (previous)
-        table->carry_over_departures(*previous, now);
+    if (!previous)
+        return table;
+    table->carry_over_departures(*previous, now);
+    for (auto const& item : previous->entries_)
+        if (table->find(item.object->endpoint().id) != item.object)
+            item.object->mark_leaving();
     return table;
 }
 
--- a/kumquatloom/routing/upstream_table.hpp
+++ b/kumquatloom/routing/upstream_table.hpp
@@ -43,6 +43,8 @@
     /// Builds a table. Objects of `previous` (may be null) are reused, so that
     /// the state of an upstream is kept. An upstream that was leaving remains
     /// so, even if a lagging list drops it and later shows it as live again.
+    /// Objects that are not reused are marked as leaving, because attempts that
+    /// have not been sent may still refer to them.
     static pointer build(pointer const& previous,
                          std::vector<listed_upstream> const& listed,
                          locality const& here,
--- a/unit_tests/routing/picker_test.cpp
+++ b/unit_tests/routing/picker_test.cpp
@@ -155,6 +155,51 @@
     CHECK(share(start + 10s) > 350);
 }
 
+// Guards against attempts that still wait for an upstream which the list has
+// dropped.
+TEST_CASE("an upstream that the list drops is withdrawn from its attempts",
+          "[routing]")
+{
+    routing::picker picker;
+    auto const publish = [&](std::vector<routing::listed_upstream> const& list)
+    {
+        picker.publish(
+            routing::upstream_table::build(picker.table(), list, here, start));
+    };
+    auto const only = listed("close", "near", "home");
+    publish({only});
+    auto const before = picker.table()->find(only.endpoint.id);
+    REQUIRE(before);
+
+    SECTION("one that stays keeps its state")
+    {
+        publish({only, listed("middle", "next", "home")});
+        CHECK(picker.table()->find(only.endpoint.id) == before);
+        CHECK_FALSE(before->is_leaving());
+    }
+
+    SECTION("one that is dropped gets nothing new")
+    {
+        publish({});
+        CHECK(before->is_leaving());
+
+        SECTION("but may return, because its entry may only have lapsed")
+        {
+            publish({only});
+            CHECK(picked_id(picker.choose({}, start)) == "close");
+        }
+    }
+
+    SECTION("one that restarts under the same id is another upstream")
+    {
+        auto restarted = only;
+        restarted.endpoint.incarnation = 2;
+        publish({restarted});
+        CHECK(before->is_leaving());
+        CHECK(picked_id(picker.choose({}, start)) == "close");
+    }
+}
+
 // Guards against requests to a leaving upstream after the list lags, drops it,
 // or shows it as live again.
 TEST_CASE("a leaving upstream is never picked again")
