Replace an idle connection that is too old for a request

If all connections to an upstream were idle for longer, it waited for one of them to be returned, which nobody would do.

Change: the oldest idle connection makes room for a new one.

--- a/kumquatloom/entry/upstream_pool.cpp
+++ b/kumquatloom/entry/upstream_pool.cpp
@@ -93,6 +93,13 @@
         ++open_;
         co_return std::nullopt;
     }
+    // Connections that are still idle have been so for too long for this
+    // request. The oldest one makes room.
+    if (!idle_.empty())
+    {
+        idle_.erase(idle_.begin());
+        co_return std::nullopt;
+    }
     waiter self(context_);
     waiters_.push_back(self);
     self.timer.expires_at(deadline);
--- a/unit_tests/entry/upstream_pool_test.cpp
+++ b/unit_tests/entry/upstream_pool_test.cpp
@@ -98,6 +98,16 @@
         return second.has_value();
     };
 
+    SECTION("an idle connection that is too old for it makes room")
+    {
+        first_lease->return_connection();
+        first_lease.reset();
+        only.acquire(second, second_lease, core::duration::zero());
+        only.run_until(second_has_ended);
+        CHECK(second == exchange_status::answered);
+        CHECK(only.pool().open() == 1);
+    }
+
     SECTION("the wait ends when the upstream has left")
     {
         only.acquire(second, second_lease);
