Count operators' requests against the memory of the process

Change: operators' requests are read like those of callers, with the budget for requests. One that doesn't fit gets 503, before its body is read if its length is stated.

--- a/kumquatloom/entry/operator_server.cpp
+++ b/kumquatloom/entry/operator_server.cpp
@@ -1,19 +1,21 @@
 #include <kumquatloom/control/control_status.hpp>
 #include <kumquatloom/document/log_record.hpp>
+#include <kumquatloom/entry/buffered_size.hpp>
 #include <kumquatloom/entry/drain_controller.hpp>
 #include <kumquatloom/entry/fleet_link.hpp>
 #include <kumquatloom/entry/instance_state.hpp>
 #include <kumquatloom/entry/local_response.hpp>
+#include <kumquatloom/entry/memory_budget.hpp>
 #include <kumquatloom/entry/metrics_page.hpp>
 #include <kumquatloom/entry/operator_server.hpp>
 #include <kumquatloom/entry/status_page.hpp>
-#include <kumquatloom/log_service/receive_buffer.hpp>
+#include <kumquatloom/log_service/read_message.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
+#include <boost/system/errc.hpp>
 
 #include <utility>
 
@@ -72,11 +74,25 @@
     http::request_parser<http::string_body> parser;
     parser.body_limit(operator_body_limit);
     stream.expires_after(operator_timeout);
-    auto const [read_error, read_size] =
-        co_await http::async_read(stream, buffer, parser, as_result);
-    if (read_error)
+    memory_budget::reservation memory(state_.buffered_requests);
+    auto const reserve = [&]
+    {
+        return memory.grow_to(buffered_size(buffer, parser));
+    };
+    auto error =
+        co_await log_service::read_header(stream, buffer, parser, reserve);
+    // A stated length is reserved before the body is read.
+    if (!error && !reserve())
+        error = make_error_code(boost::system::errc::not_enough_memory);
+    if (!error)
+        error = co_await log_service::read_body(
+            stream, buffer, parser, operator_body_limit, reserve);
+    bool const has_memory = error != boost::system::errc::not_enough_memory;
+    if (error && has_memory)
         co_return;
-    auto response = co_await handle(parser.get());
+    auto response = json_response(http::status::service_unavailable, "{}\n");
+    if (has_memory)
+        response = co_await handle(parser.get());
     // Open connections would delay the exit of the process.
     response.keep_alive(false);
     co_await http::async_write(stream, response, as_result);
