Share the held orders of two tests

Both tests send orders on connections of their own to an upstream that holds them. They check the same as before; a lost connection now counts as status 0.

--- a/unit_tests/platform/retired_service_test.cpp
+++ b/unit_tests/platform/retired_service_test.cpp
@@ -1,9 +1,8 @@
 #include <catch2/catch.hpp>
 
-#include <memory>
 #include <string>
+#include <unit_tests/platform/order_burst.hpp>
 #include <unit_tests/platform/platform_fixture.hpp>
-#include <vector>
 
 namespace
 {
@@ -13,16 +12,6 @@
 constexpr unsigned slots = 6;
 constexpr unsigned waiting_orders = 3;
 
-std::string order(std::string const& id)
-{
-    return platform_request("POST", "/order/" + id, "kit");
-}
-
-raw_reply hold(received_request const& request)
-{
-    return {platform_response(request, "done"), false, false, true};
-}
-
 } // namespace
 
 // Guards against requests that wait for a service which a new configuration no
@@ -31,25 +20,16 @@
           "[platform]")
 {
     platform_fixture fixture;
-    auto& old = fixture.add_upstream(hold);
+    auto& old = fixture.add_upstream(hold_request);
     fixture.start_ready();
-    std::vector<std::unique_ptr<raw_caller>> callers;
-    auto const send_orders = [&](unsigned count)
-    {
-        for (unsigned number = 0; number < count; ++number)
-        {
-            callers.push_back(std::make_unique<raw_caller>(
-                fixture.instance().callers_port()));
-            callers.back()->send(order(std::to_string(callers.size())));
-        }
-    };
-    send_orders(slots);
+    order_burst orders(fixture);
+    orders.send(slots);
     platform_fixture::wait_until(
         [&]
         {
             return old.held() == slots;
         });
-    send_orders(waiting_orders);
+    orders.send(waiting_orders);
     fixture.wait_for_reads();
     auto const configure = [&](unsigned version, std::string const& service)
     {
@@ -63,8 +43,7 @@
     };
     auto const status_of_waiting = [&](unsigned number)
     {
-        auto const response = callers.at(slots + number)->receive();
-        return response ? response->result_int() : 0;
+        return orders.status_of(slots + number);
     };
     configure(2, "other");
 
@@ -106,7 +85,8 @@
         configure(3, "shop");
         for (unsigned number = 0; number < waiting_orders; ++number)
             CHECK(status_of_waiting(number) == 200);
-        CHECK(fixture.exchange(order("new"))->result_int() == 200);
+        CHECK(fixture.exchange(platform_request("POST", "/order/new", "kit"))
+                  ->result_int() == 200);
         CHECK(added.executions() == waiting_orders + 1);
         CHECK(old.executions() == slots);
     }
