--- a/kumquatloom/entry/buffered_size.hpp
+++ b/kumquatloom/entry/buffered_size.hpp
@@ -10,10 +10,8 @@
 namespace kumquatloom::entry
 {
 
-/// Memory that a message takes while it is read, in bytes, beyond what every
-/// open connection may take: the receive buffer, as much again for the header
-/// fields that are parsed from it, and the body, for which a stated length
-/// counts from the start.
+/// Bytes that a message takes while it is read: the body, whose stated length
+/// counts from the start, and twice the receive buffer, for the parsed fields.
 template <typename Parser>
 std::size_t buffered_size(log_service::receive_buffer const& buffer,
                           Parser const& parser)
--- a/kumquatloom/log_service/read_message.hpp
+++ b/kumquatloom/log_service/read_message.hpp
@@ -18,11 +18,9 @@
 namespace kumquatloom::log_service
 {
 
-/// Reads until `is_done` returns true, and fails with not_enough_memory if
-/// `accept_part`, which gets the number of bytes received so far, returns
-/// false. It is called whenever the buffer or the message may have grown. The
-/// reads of Beast continue until a whole header, chunk header or trailer has
-/// been buffered, without such a check.
+/// Reads until `is_done`. Fails with not_enough_memory if `accept_part`, called
+/// with the bytes received whenever the message may have grown, returns false.
+/// Beast's own reads buffer whole headers and trailers without such a check.
 template <typename Stream,
           typename Parser,
           std::predicate IsDone,
--- a/kumquatloom/request/response_check.hpp
+++ b/kumquatloom/request/response_check.hpp
@@ -24,11 +24,9 @@
     std::string_view body;
 };
 
-/// Verifies that a response belongs to the request and is complete: its status
-/// is a final one, the request id is echoed exactly once, Content-Length is
-/// present and equals the size of the body, and a SHA-256 Content-Digest (RFC
-/// 9530) matches if there is one. In a dialect with a signature field, a
-/// successful response must carry it and its body must not be encoded.
+/// Verifies that a response is final, echoes the request id once, and matches
+/// its Content-Length and, if there is one, its SHA-256 Content-Digest (RFC
+/// 9530). A dialect may require a signature field and an unencoded body.
 response_verdict check_response(upstream_response const& response,
                                 core::request_id const& expected,
                                 wire_dialect const& dialect = default_dialect);
--- a/unit_tests/limits/stop_schedule_test.cpp
+++ b/unit_tests/limits/stop_schedule_test.cpp
@@ -39,6 +39,10 @@
 
     SECTION("a request is left to other instances if there is no time for it")
     {
+        CHECK(schedule.has_time(begin, 500ms));
+        CHECK_FALSE(schedule.has_time(answer_by - 900ms, 500ms));
+        CHECK_FALSE(schedule.has_time(answer_by, 0ms));
+        CHECK_FALSE(schedule.has_time(answer_by + 1s, 0ms));
         CHECK(schedule.accepts(begin, 500ms, unlimited));
         CHECK_FALSE(schedule.accepts(answer_by - 900ms, 500ms, unlimited));
         CHECK_FALSE(schedule.accepts(answer_by, 0ms, unlimited));
@@ -54,6 +58,8 @@
         auto const left = answer_by - early;
         CHECK(schedule.accepts(early, left / 2, unlimited));
         CHECK_FALSE(schedule.accepts(early, left / 2 + 100ms, unlimited));
+        CHECK(schedule.has_time(answer_by - 2s, 900ms));
+        CHECK_FALSE(schedule.has_time(answer_by - 2s, 1100ms));
         CHECK(schedule.accepts(answer_by - 2s, 900ms, answer_by));
         CHECK_FALSE(schedule.accepts(answer_by - 2s, 1100ms, answer_by));
     }
