Keep avoided upstreams covered while a service serves part of its requests

Only idempotent requests carry trials at avoided upstreams.

While at least a tenth of its own requests to a service is not served, an instance now lets one request in four, whatever its kind, cover an avoided upstream of its domain 1 s after the last result there. The instances take turns, and an attempt that hangs counts as coverage for 0.5 s only. Nothing changes while fewer requests fail.

--- a/kumquatloom/entry/proxy_handler.cpp
+++ b/kumquatloom/entry/proxy_handler.cpp
@@ -153,6 +153,12 @@
     return start_decision::start;
 }
 
+void proxy_handler::record_unserved(admission::admitted_request const& admitted)
+{
+    if (auto const queue = resources_.queues.queue_for(admitted.service))
+        queue->record_outcome(false);
+}
+
 http_response proxy_handler::refuse(refusal_reason reason,
                                     admission::ticket_presence ticket)
 {
@@ -172,6 +178,7 @@
     auto const document = state_.document.read();
     if (!state_.rates.try_take(admitted, *document, core::clock::now()))
     {
+        record_unserved(admitted);
         log_refusal(state_, inbound, refusal_reason::rate_limited);
         co_return refuse(refusal_reason::rate_limited, ticket);
     }
@@ -182,6 +189,7 @@
     // Shed the request if the instance is too busy for its priority.
     if (!state_.shedder.try_admit(admitted.priority))
     {
+        record_unserved(admitted);
         log_refusal(state_, inbound, refusal_reason::overloaded);
         co_return refuse(refusal_reason::overloaded, ticket);
     }
@@ -203,6 +211,7 @@
         state_.quotas->try_take(organisation, core::clock::now());
     if (!decision.admitted)
     {
+        record_unserved(admitted);
         log_refusal(state_, inbound, refusal_reason::over_quota);
         state_.gate.count(refusal_reason::over_quota);
         co_return local_response(
@@ -236,6 +245,7 @@
                                queue->estimated_response_time(),
                                admitted.deadline.at()))
     {
+        queue->record_outcome(false);
         log_refusal(state_, inbound, refusal_reason::draining);
         inbound.was_not_run = true;
         co_return refuse(refusal_reason::draining,
--- a/kumquatloom/entry/proxy_handler.hpp
+++ b/kumquatloom/entry/proxy_handler.hpp
@@ -57,6 +57,8 @@
     }
 
 private:
+    /// Counts a request that is refused before it is queued.
+    void record_unserved(admission::admitted_request const& admitted);
     asio::awaitable<http_response>
     forward(inbound_request& inbound,
             admission::admitted_request const& admitted);
--- a/kumquatloom/entry/request_execution.cpp
+++ b/kumquatloom/entry/request_execution.cpp
@@ -155,8 +155,10 @@
             ? reserve_trial()
             : admitted_.idempotency == request::idempotency::idempotent &&
                   queue_.service().budget.allows_retry(core::clock::now());
-    auto chosen = co_await queue_.acquire(slot_request(
-        {{}, may_be_trial, resources_.random(), first_preference()}));
+    auto const trial = may_be_trial ? routing::trial_permission::due
+                                    : queue_.coverage_permission();
+    auto chosen = co_await queue_.acquire(
+        slot_request({{}, trial, resources_.random(), first_preference()}));
     if (!chosen || chosen.value().tier != routing::pick_tier::trial)
         release_retry();
     if (!chosen)
@@ -441,8 +443,11 @@
 asio::awaitable<std::optional<routing::pick>>
 request_execution::wait_for_other_upstream()
 {
-    auto chosen = co_await queue_.acquire(slot_request(
-        {tried_, false, resources_.random(), repeated_preference()}));
+    auto chosen =
+        co_await queue_.acquire(slot_request({tried_,
+                                              routing::trial_permission::none,
+                                              resources_.random(),
+                                              repeated_preference()}));
     if (chosen)
         co_return std::move(chosen.value());
     resources_.state.retry_counters.denied.increment(
@@ -575,9 +580,12 @@
 
 std::optional<routing::pick> request_execution::choose_other_upstream()
 {
-    auto chosen = queue_.service().picker.choose(
-        {tried_, false, resources_.random(), repeated_preference()},
-        core::clock::now());
+    auto chosen =
+        queue_.service().picker.choose({tried_,
+                                        routing::trial_permission::none,
+                                        resources_.random(),
+                                        repeated_preference()},
+                                       core::clock::now());
     if (chosen)
         return std::move(chosen.value());
     resources_.state.retry_counters.denied.increment(
@@ -603,6 +611,9 @@
             response_ = std::move(item->result);
         }
     state.retry_counters.outcomes.increment(attempts_.final_outcome());
+    queue_.record_outcome(response_.has_value() &&
+                          response_->response.result_int() <
+                              first_server_error);
     return response_ ? upstream_response() : refuse(final_reason());
 }
 
--- a/kumquatloom/entry/slot_queue.cpp
+++ b/kumquatloom/entry/slot_queue.cpp
@@ -75,7 +75,7 @@
     // Queued requests have precedence.
     if (waiting() != 0)
         return std::nullopt;
-    auto chosen = service_->picker.choose(request.selection, now);
+    auto chosen = choose(request.selection, now);
     if (chosen)
         return result(core::success(std::move(chosen.value())));
     if (chosen.error() == routing::pick_error::no_free_slot)
@@ -144,7 +144,7 @@
     // Queued requests have precedence.
     if (waiting() == 0 && now <= times.last)
     {
-        auto chosen = service_->picker.choose(request.selection, now);
+        auto chosen = choose(request.selection, now);
         if (chosen)
         {
             control_.room.record_grant(now);
@@ -202,7 +202,7 @@
             reject_unservable(now);
             return;
         }
-        auto chosen = service_->picker.choose({{}, false, ++selections_}, now);
+        auto chosen = choose({{}, coverage_permission(), ++selections_}, now);
         if (!chosen)
         {
             reject_unservable(now);
@@ -250,8 +250,11 @@
     while (auto const* const next = cost_aware_.best(now, is_eligible))
     {
         auto const item = *next;
-        auto chosen = service_->picker.choose(
-            {item->tried, false, ++selections_, item->preference}, now);
+        auto const trial = item->tried.empty()
+                               ? coverage_permission()
+                               : routing::trial_permission::none;
+        auto chosen =
+            choose({item->tried, trial, ++selections_, item->preference}, now);
         if (chosen)
         {
             cost_aware_.serve(item);
@@ -300,6 +303,29 @@
     log_shortage(shortage_.record_refusal(core::clock::now()));
 }
 
+void slot_queue::record_outcome(bool is_served)
+{
+    auto const now = core::clock::now();
+    coverage_.record_request(is_served, now);
+    bool const is_needed = coverage_.is_needed(now);
+    if (is_needed == is_covering_)
+        return;
+    is_covering_ = is_needed;
+    constexpr double percent = 100;
+    core::log_info(
+        is_covering_ ? "coverage_began" : "coverage_ended",
+        {{"service", service_->name.value()},
+         {"unserved_percent",
+          static_cast<unsigned>(coverage_.unserved_share(now) * percent)}});
+}
+
+routing::trial_permission slot_queue::coverage_permission() const
+{
+    return coverage_.permits(core::clock::now())
+               ? routing::trial_permission::coverage
+               : routing::trial_permission::none;
+}
+
 void slot_queue::record_attempt(std::string_view route,
                                 health::attempt_result outcome,
                                 core::duration time)
@@ -437,6 +463,16 @@
         });
 }
 
+core::result<routing::pick, routing::pick_error>
+slot_queue::choose(routing::pick_request const& request, core::time_point now)
+{
+    auto chosen = service_->picker.choose(request, now);
+    if (chosen && chosen.value().tier == routing::pick_tier::trial &&
+        request.trial == routing::trial_permission::coverage)
+        coverage_.record_trial();
+    return chosen;
+}
+
 void slot_queue::wake(waiter& item)
 {
     item.timer.expires_at(core::time_point::min());
--- a/kumquatloom/entry/slot_queue.hpp
+++ b/kumquatloom/entry/slot_queue.hpp
@@ -11,6 +11,7 @@
 #include <kumquatloom/health/attempt_report.hpp>
 #include <kumquatloom/limits/connection_turn.hpp>
 #include <kumquatloom/limits/cost_aware_queue.hpp>
+#include <kumquatloom/limits/coverage_trials.hpp>
 #include <kumquatloom/limits/priority.hpp>
 #include <kumquatloom/limits/priority_fair_queue.hpp>
 #include <kumquatloom/limits/retry_preference.hpp>
@@ -19,6 +20,7 @@
 #include <kumquatloom/limits/shortage_state.hpp>
 #include <kumquatloom/request/deadline.hpp>
 #include <kumquatloom/routing/pick.hpp>
+#include <kumquatloom/routing/pick_error.hpp>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -115,6 +117,12 @@
         return retries_;
     }
 
+    /// Counts the end of a request and whether it was served.
+    void record_outcome(bool is_served);
+
+    /// Which trials a request may carry that can't be repeated.
+    routing::trial_permission coverage_permission() const;
+
     service_state& service() const
     {
         return *service_;
@@ -178,6 +186,8 @@
                       core::time_point now) const;
     void reject_unservable(core::time_point now);
     void schedule();
+    core::result<routing::pick, routing::pick_error>
+    choose(routing::pick_request const& request, core::time_point now);
     static void wake(waiter& item);
     core::time_point latest_start(core::time_point answer_by) const;
     core::time_point wait_deadline(slot_request const& request,
@@ -195,6 +205,10 @@
     limits::shortage_control control_;
     /// See retries().
     limits::retry_preference retries_;
+    /// Decides whether any request may be a trial.
+    limits::coverage_trials coverage_;
+    /// Whether coverage was needed after the last request.
+    bool is_covering_ = false;
     /// Whether cost-aware requests are short of room.
     limits::shortage_state shortage_;
     /// When the waiting cost-aware requests were last checked for whether they
--- a/kumquatloom/health/health_estimate_table.cpp
+++ b/kumquatloom/health/health_estimate_table.cpp
@@ -30,11 +30,12 @@
     for (auto const& id : upstreams)
     {
         auto const known = upstreams_.find(id);
-        next.emplace(
-            id,
-            known != upstreams_.end()
-                ? known->second
-                : upstream_state{health_estimate(settings_, now), now});
+        next.emplace(id,
+                     known != upstreams_.end()
+                         ? known->second
+                         : upstream_state{health_estimate(settings_, now),
+                                          now,
+                                          coverage_schedule(now)});
     }
     upstreams_ = std::move(next);
 }
@@ -82,9 +83,10 @@
         state.estimate.log_odds(now) > settings_.avoid_threshold;
     state.estimate.adopt(log_odds, now);
     // The neighbours of this instance already send the trial requests.
-    if (!is_avoided)
-        state.next_trial =
-            now + settings_.trial_interval + trial_stagger(upstream);
+    if (is_avoided)
+        return;
+    state.next_trial = now + settings_.trial_interval + trial_stagger(upstream);
+    state.coverage.record(true, now);
 }
 
 std::optional<double>
@@ -134,7 +136,9 @@
              1,
              trial,
              avoid && log_odds > settings_.last_resort_threshold,
-             state.next_trial});
+             state.next_trial,
+             avoid ? state.coverage.due_at(coverage_turn(*id))
+                   : core::time_point::max()});
     }
     return decisions;
 }
@@ -151,8 +155,8 @@
 health_estimate_table::trial_stagger(core::upstream_id const& upstream) const
 {
     if (settings_.trial_turns == 0)
-        return settings_.trial_stagger * observer_index_;
-    auto const turn = (core::stable_hash(upstream.value()) + observer_index_) %
+        return settings_.trial_stagger * static_cast<int>(observers_.rank);
+    auto const turn = (core::stable_hash(upstream.value()) + observers_.rank) %
                       settings_.trial_turns;
     return settings_.trial_stagger * static_cast<int>(turn);
 }
@@ -172,6 +176,14 @@
         delay = was_healthy ? settings_.first_trial_delay
                             : settings_.trial_interval;
     state.next_trial = now + delay + trial_stagger(upstream);
+    state.coverage.record(weight > 0, now);
+}
+
+std::size_t
+health_estimate_table::coverage_turn(core::upstream_id const& upstream) const
+{
+    return (core::stable_hash(upstream.value()) + observers_.rank) %
+           std::max<std::size_t>(observers_.size, 1);
 }
 
 std::size_t health_estimate_table::max_avoided() const
--- a/kumquatloom/health/health_estimate_table.hpp
+++ b/kumquatloom/health/health_estimate_table.hpp
@@ -4,9 +4,11 @@
 #include <kumquatloom/core/clock.hpp>
 #include <kumquatloom/core/ids.hpp>
 #include <kumquatloom/health/attempt_report.hpp>
+#include <kumquatloom/health/coverage_schedule.hpp>
 #include <kumquatloom/health/health_estimate.hpp>
 #include <kumquatloom/health/health_estimate_settings.hpp>
 #include <kumquatloom/health/standing_decision.hpp>
+#include <kumquatloom/membership/domain_rank.hpp>
 
 #include <cstddef>
 #include <optional>
@@ -58,12 +60,12 @@
     std::optional<double> avoided_log_odds(core::upstream_id const& upstream,
                                            core::time_point now) const;
 
-    /// Sets the index of this instance among the observers that share the trial
-    /// requests. The trial requests of this instance are delayed by the index
+    /// Sets the rank of this instance among the observers that share the trial
+    /// requests. The trial requests of this instance are delayed by the rank
     /// times `trial_stagger`.
-    void assign_observer_index(std::size_t index)
+    void assign_observers(membership::domain_rank const& observers)
     {
-        observer_index_ = static_cast<int>(index);
+        observers_ = observers;
     }
 
     /// Returns the decision about each tracked upstream from now on. `withheld`
@@ -95,6 +97,8 @@
         /// result delays the next trial request, a good one makes it due after
         /// the delay given by the observer index.
         core::time_point next_trial;
+        /// When the upstream needs a request of any kind.
+        coverage_schedule coverage;
     };
 
     /// Number of thresholds of a standing that the log-odds exceed.
@@ -108,6 +112,9 @@
              double weight,
              core::time_point now);
     std::size_t max_avoided() const;
+    /// Turn of this observer among those that keep an upstream covered, in an
+    /// order that depends on the upstream.
+    std::size_t coverage_turn(core::upstream_id const& upstream) const;
 
     health_estimate_settings settings_;
     /// Fraction of the upstreams that is never avoided.
@@ -116,8 +123,8 @@
     /// Moving average of the latency of successes in seconds; 0 before the
     /// first.
     double smoothed_latency_seconds_ = 0;
-    /// Index of this instance among the observers.
-    int observer_index_ = 0;
+    /// Rank of this instance among the observers.
+    membership::domain_rank observers_;
     /// Number of upstreams that the last decision avoids.
     std::size_t avoided_count_ = 0;
     bool has_crossing_ = false;
--- a/kumquatloom/health/standing_decision.hpp
+++ b/kumquatloom/health/standing_decision.hpp
@@ -26,6 +26,9 @@
     bool last_resort = false;
     /// When the trial request became due.
     core::time_point trial_due_at{};
+    /// When the upstream needs a request, whichever that is, so that it is not
+    /// left without requests.
+    core::time_point coverage_due_at = core::time_point::max();
 };
 
 } // namespace kumquatloom::health
--- a/kumquatloom/hosting/neighbour_messenger.cpp
+++ b/kumquatloom/hosting/neighbour_messenger.cpp
@@ -106,10 +106,10 @@
     std::vector<std::string> live;
     for (auto const& item : neighbours_.live(now))
         live.push_back(item.host);
-    auto const rank = neighbours_.own_rank(now).rank;
     live_neighbours_ = live.size();
     remote_load_.retain(live, now);
-    tracker_.assign_observer_rank(rank);
+    auto const own_rank = neighbours_.own_rank(now);
+    tracker_.assign_observers(own_rank);
     auto const changed = remote_load_.take_changed();
     // Newly listed upstreams have no stored load yet.
     if (tracker_.take_new_upstreams())
@@ -120,7 +120,7 @@
         send_now();
     send_quotas(now);
     // The instance with the lowest rank reports for the domain.
-    if (rank == 0)
+    if (own_rank.rank == 0)
         send_domain_reports(now);
 }
 
--- a/kumquatloom/hosting/upstream_tracker.cpp
+++ b/kumquatloom/hosting/upstream_tracker.cpp
@@ -78,7 +78,7 @@
     }
     has_new_upstreams_ = true;
     tracked.estimates.track(ids, now);
-    tracked.estimates.assign_observer_index(observer_rank_);
+    tracked.estimates.assign_observers(observers_);
     tracked.table = std::move(table);
 }
 
@@ -227,11 +227,12 @@
             found->second.object->update_remote_load(loads.total(hash));
 }
 
-void upstream_tracker::assign_observer_rank(std::size_t rank)
+void upstream_tracker::assign_observers(
+    membership::domain_rank const& observers)
 {
-    observer_rank_ = rank;
+    observers_ = observers;
     for (auto& [name, service] : services_)
-        service.estimates.assign_observer_index(rank);
+        service.estimates.assign_observers(observers);
 }
 
 bool upstream_tracker::take_new_upstreams()
@@ -271,7 +272,12 @@
     // instances in the upstream's domain make them; their observer ranks
     // stagger the trials.
     for (auto& decision : decisions)
-        decision.trial = decision.trial && is_in_own_domain(decision.upstream);
+    {
+        if (is_in_own_domain(decision.upstream))
+            continue;
+        decision.trial = false;
+        decision.coverage_due_at = core::time_point::max();
+    }
     // The lease expiry affects ejections only, and none of these decisions
     // is one.
     service.table->publish(decisions, now);
--- a/kumquatloom/hosting/upstream_tracker.hpp
+++ b/kumquatloom/hosting/upstream_tracker.hpp
@@ -8,6 +8,7 @@
 #include <kumquatloom/hosting/departure_notice.hpp>
 #include <kumquatloom/hosting/upstream_estimate.hpp>
 #include <kumquatloom/hosting/upstream_report.hpp>
+#include <kumquatloom/membership/domain_rank.hpp>
 #include <kumquatloom/routing/upstream.hpp>
 #include <kumquatloom/routing/upstream_table.hpp>
 
@@ -82,7 +83,7 @@
 
     /// Updates the rank of this instance among the live instances of its
     /// domain, which share the trial requests.
-    void assign_observer_rank(std::size_t rank);
+    void assign_observers(membership::domain_rank const& observers);
 
     /// Evaluates the health of all upstreams and publishes the resulting
     /// standings to the request path.
@@ -139,7 +140,7 @@
     /// Fraction of a service's upstreams that is never avoided.
     double floor_;
     /// Rank of this instance among the live instances of its domain.
-    std::size_t observer_rank_ = 0;
+    membership::domain_rank observers_;
     std::map<core::service_name, tracked_service> services_;
     /// Upstreams by short_hash() of their id.
     std::unordered_map<std::uint32_t, tracked_upstream> upstreams_;
--- a/kumquatloom/routing/pick.hpp
+++ b/kumquatloom/routing/pick.hpp
@@ -3,6 +3,7 @@
 
 #include <kumquatloom/routing/pick_tier.hpp>
 #include <kumquatloom/routing/success_preference.hpp>
+#include <kumquatloom/routing/trial_permission.hpp>
 #include <kumquatloom/routing/upstream.hpp>
 
 #include <boost/smart_ptr/intrusive_ptr.hpp>
@@ -28,10 +29,10 @@
 {
     /// Upstreams that the request has already tried.
     std::span<boost::intrusive_ptr<upstream> const> tried;
-    /// Whether the request may be a trial request. Must be false for a request
-    /// that cannot be retried, so that a failed trial costs its caller only
-    /// time.
-    bool may_be_trial = false;
+    /// Which trials the request may carry. Unless a service serves only part of
+    /// its requests, it must be `none` for a request that cannot be retried, so
+    /// that a failed trial costs its caller only time.
+    trial_permission trial = trial_permission::none;
     /// Random bits, the seed of the choice.
     std::uint64_t random = 0;
     /// Which upstreams are preferred by the time of their last success. Unless
--- a/kumquatloom/routing/picker.cpp
+++ b/kumquatloom/routing/picker.cpp
@@ -4,6 +4,7 @@
 #include <boost/container/small_vector.hpp>
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 namespace kumquatloom::routing
@@ -284,6 +285,38 @@
     return candidate.known_in_flight() * 100 >= slots * percent;
 }
 
+/// When the trial became due that the request may carry at an upstream; empty
+/// if there is none.
+std::optional<core::time_point> trial_due_at(pick_request const& request,
+                                             upstream const& candidate,
+                                             core::time_point now)
+{
+    switch (request.trial)
+    {
+    case trial_permission::due:
+        if (candidate.is_trial_due())
+            return candidate.trial_due_at();
+        break;
+    case trial_permission::coverage:
+        if (candidate.is_coverage_due(now))
+            return candidate.coverage_due_at();
+        break;
+    case trial_permission::none:
+        break;
+    }
+    return std::nullopt;
+}
+
+/// Claims the trial that the request may carry at an upstream.
+bool claim_trial(pick_request const& request,
+                 upstream& candidate,
+                 core::time_point now)
+{
+    return request.trial == trial_permission::coverage
+               ? candidate.claim_coverage(now)
+               : candidate.claim_trial();
+}
+
 bool was_tried(pick_request const& request, upstream const* object)
 {
     return std::any_of(request.tried.begin(),
@@ -310,6 +343,7 @@
     bool any_proven = false;
     /// The avoided upstream whose trial request has been due longest.
     boost::intrusive_ptr<upstream> const* trial = nullptr;
+    core::time_point trial_due_at{};
     /// Whether any upstream may receive requests, and whether any of those is
     /// untried.
     bool any_usable = false;
@@ -349,11 +383,13 @@
         {
             (object->is_last_resort() ? result.last_resort : result.avoided)
                 .push_back(&object);
-            bool const is_due = request.may_be_trial && object->is_trial_due();
-            if (is_due &&
-                (result.trial == nullptr ||
-                 object->trial_due_at() < (*result.trial)->trial_due_at()))
+            auto const due_at = trial_due_at(request, *object, now);
+            if (due_at &&
+                (result.trial == nullptr || *due_at < result.trial_due_at))
+            {
                 result.trial = &object;
+                result.trial_due_at = *due_at;
+            }
         }
     }
     return result;
@@ -388,7 +424,7 @@
     bool const can_recover =
         request.preference == success_preference::none || candidates.any_proven;
     if (candidates.trial != nullptr && can_recover &&
-        (*candidates.trial)->claim_trial())
+        claim_trial(request, **candidates.trial, now))
         return start_attempt(*candidates.trial, pick_tier::trial, now);
     random_sequence random(request.random);
     // The nearest locality with a free slot is used.
--- a/kumquatloom/routing/upstream.cpp
+++ b/kumquatloom/routing/upstream.cpp
@@ -23,6 +23,11 @@
 /// Time within which an upstream that resets its requests has reset one: a
 /// round trip in the region and a scheduling delay.
 constexpr core::duration max_reset_time = 20ms;
+/// Time after which attempts in flight no longer count as requests that keep
+/// the upstream covered: a request may hang until its deadline.
+constexpr core::duration max_covering_attempt = 500ms;
+/// Time between two requests of this instance that keep an upstream covered.
+constexpr core::duration min_coverage_interval = 1s;
 /// Lower bound of the success rate that costs are divided by. The division
 /// keeps upstreams that fail quickly from attracting requests with their low
 /// latency.
@@ -108,6 +113,8 @@
         static_cast<unsigned>(std::lround(decision.weight * weight_scale)),
         std::memory_order_relaxed);
     last_resort_.store(decision.last_resort, std::memory_order_relaxed);
+    coverage_due_at_.store(ticks(decision.coverage_due_at),
+                           std::memory_order_relaxed);
     if (decision.trial)
     {
         trial_due_at_.store(ticks(decision.trial_due_at),
@@ -146,6 +153,25 @@
                             max_report_age);
 }
 
+bool upstream::is_coverage_due(core::time_point now) const
+{
+    // An attempt in flight covers the upstream, unless it hangs.
+    return now >= coverage_due_at() &&
+           (known_in_flight() == 0 ||
+            now - coverage_due_at() >= max_covering_attempt) &&
+           now - core::time_point(core::duration(
+                     coverage_claimed_at_.load(std::memory_order_relaxed))) >=
+               min_coverage_interval;
+}
+
+bool upstream::claim_coverage(core::time_point now)
+{
+    auto last = coverage_claimed_at_.load(std::memory_order_relaxed);
+    return is_coverage_due(now) &&
+           coverage_claimed_at_.compare_exchange_strong(
+               last, ticks(now), std::memory_order_relaxed);
+}
+
 double upstream::weight(core::time_point now) const
 {
     double const decided_weight =
--- a/kumquatloom/routing/upstream.hpp
+++ b/kumquatloom/routing/upstream.hpp
@@ -173,6 +173,20 @@
                known_in_flight() == 0;
     }
 
+    /// Whether the upstream needs a request of any kind so that it is not left
+    /// without requests, see standing_decision::coverage_due_at.
+    bool is_coverage_due(core::time_point now) const;
+
+    /// Claims the request that is_coverage_due() announces.
+    bool claim_coverage(core::time_point now);
+
+    /// When the upstream needs a request of any kind.
+    core::time_point coverage_due_at() const
+    {
+        return core::time_point(
+            core::duration(coverage_due_at_.load(std::memory_order_relaxed)));
+    }
+
     /// When the last trial request became due.
     core::time_point trial_due_at() const
     {
@@ -219,6 +233,11 @@
     std::atomic<bool> trial_due_{false};
     /// When the trial request became due, in ticks of the clock.
     std::atomic<core::duration::rep> trial_due_at_{0};
+    /// See coverage_due_at(), and the last claim of such a request, in ticks of
+    /// the clock.
+    std::atomic<core::duration::rep> coverage_due_at_{
+        core::time_point::max().time_since_epoch().count()};
+    std::atomic<core::duration::rep> coverage_claimed_at_{0};
     std::atomic<bool> leaving_{false};
     /// See held_until(), in ticks of the clock.
     std::atomic<core::duration::rep> held_until_{
--- a/measure/failure_episodes.cpp
+++ b/measure/failure_episodes.cpp
@@ -155,7 +155,8 @@
             instance.tracker.track(
                 core::service_name("service"), table, core::time_point());
             instance.tracker.configure(core::service_name("service"), settings);
-            instance.tracker.assign_observer_rank(i / setup.domains);
+            instance.tracker.assign_observers(
+                {i / setup.domains, setup.instances / setup.domains});
         }
     }
 
@@ -309,7 +310,12 @@
                              (setup_.policy != episode_policy::fewer_trials &&
                               instance.budget.allows_retry(now)));
         auto chosen = instance.picker.choose(
-            {request.tried, may_be_trial, random_(), preference(request)}, now);
+            {request.tried,
+             may_be_trial ? routing::trial_permission::due
+                          : routing::trial_permission::none,
+             random_(),
+             preference(request)},
+            now);
         if (request.has_reserved_retry &&
             (!chosen || chosen.value().tier != routing::pick_tier::trial))
         {
--- a/measure/shared_choice.cpp
+++ b/measure/shared_choice.cpp
@@ -193,7 +193,8 @@
                 instance.waiting.pop_front();
                 continue;
             }
-            auto chosen = instance.picker.choose({{}, false, random_()}, now);
+            auto chosen = instance.picker.choose(
+                {{}, routing::trial_permission::none, random_()}, now);
             if (!chosen)
                 break;
             instance.waiting.pop_front();
--- a/measure/shortage.cpp
+++ b/measure/shortage.cpp
@@ -594,7 +594,8 @@
     {
         update_load(instance);
         auto const now = events_.now();
-        auto chosen = instance.picker.choose({{}, false, random_()}, now);
+        auto chosen = instance.picker.choose(
+            {{}, routing::trial_permission::none, random_()}, now);
         if (!chosen)
         {
             poll_later(instance);
@@ -646,8 +647,8 @@
     {
         auto const now = events_.now();
         update_load(instance);
-        auto chosen =
-            instance.picker.choose({request->tried, false, random_()}, now);
+        auto chosen = instance.picker.choose(
+            {request->tried, routing::trial_permission::none, random_()}, now);
         if (!chosen)
             return false;
         request->chosen = std::move(chosen.value());
--- a/unit_tests/health/health_estimate_table_test.cpp
+++ b/unit_tests/health/health_estimate_table_test.cpp
@@ -142,7 +142,7 @@
         health_estimate_settings const settings;
         health_estimate_table third({}, 0.4);
         third.track(ten_upstreams(), start);
-        third.assign_observer_index(2);
+        third.assign_observers({2, 3});
         third.record(result(attempt_result::cut_short), start);
         auto const due =
             start + settings.first_trial_delay + 2 * settings.trial_stagger;
@@ -181,7 +181,7 @@
         {
             health_estimate_table observer(settings, 0.4);
             observer.track(ten_upstreams(), start);
-            observer.assign_observer_index(index);
+            observer.assign_observers({index, 24});
             observer.record(result(attempt_result::cut_short), start);
             auto due = start;
             while (!decision_of(observer, unhealthy, due).trial)
@@ -199,7 +199,7 @@
         constexpr std::size_t observers = 32;
         health_estimate_table last({}, 0.4);
         last.track(ten_upstreams(), start);
-        last.assign_observer_index(observers - 1);
+        last.assign_observers({observers - 1, observers});
         last.record(result(attempt_result::cut_short), start);
         last.record(result(attempt_result::cut_short), start + 100ms);
         CHECK(decision_of(last, unhealthy, start + 100ms + 2s).trial);
--- a/unit_tests/routing/picker_test.cpp
+++ b/unit_tests/routing/picker_test.cpp
@@ -71,7 +71,9 @@
     {
         std::string order;
         for (std::uint64_t i = 0; i < 7; ++i)
-            order += picked_id(picker.choose({{}, false, i}, start)) + ' ';
+            order += picked_id(picker.choose(
+                         {{}, routing::trial_permission::none, i}, start)) +
+                     ' ';
         CHECK(order == "close close middle middle far far no_free_slot ");
         CHECK(picker.picks_by_tier().value(pick_tier::other_region) == 2);
     }
@@ -88,7 +90,9 @@
     {
         auto const first = picker.choose({}, start);
         std::vector tried{first.value().object};
-        CHECK(picked_id(picker.choose({tried, true, 1}, start)) == "middle");
+        CHECK(
+            picked_id(picker.choose({tried, routing::trial_permission::due, 1},
+                                    start)) == "middle");
     }
 
     SECTION("an avoided upstream is reserve capacity, an ejected one is not")
@@ -98,7 +102,9 @@
             picker, "middle", upstream_standing::ejected, start + 1s);
         std::string order;
         for (std::uint64_t i = 0; i < 5; ++i)
-            order += picked_id(picker.choose({{}, false, i}, start)) + ' ';
+            order += picked_id(picker.choose(
+                         {{}, routing::trial_permission::none, i}, start)) +
+                     ' ';
         CHECK(order == "far far close close no_free_slot ");
 
         SECTION("the lease of the ejection expires while the control thread is "
@@ -116,9 +122,12 @@
                                   1,
                                   true}},
                                 start);
-        CHECK(picked_id(picker.choose({{}, false, 1}, start)) == "middle");
-        CHECK(picked_id(picker.choose({{}, true, 2}, start)) == "close");
-        CHECK(picked_id(picker.choose({{}, true, 3}, start)) == "middle");
+        CHECK(picked_id(picker.choose({{}, routing::trial_permission::none, 1},
+                                      start)) == "middle");
+        CHECK(picked_id(picker.choose({{}, routing::trial_permission::due, 2},
+                                      start)) == "close");
+        CHECK(picked_id(picker.choose({{}, routing::trial_permission::due, 3},
+                                      start)) == "middle");
         CHECK(picker.picks_by_tier().value(pick_tier::trial) == 1);
     }
 }
@@ -138,7 +147,9 @@
         int count = 0;
         for (std::uint64_t i = 0; i < 1000; ++i)
         {
-            auto const pick = picker.choose({{}, false, i}, now).value();
+            auto const pick =
+                picker.choose({{}, routing::trial_permission::none, i}, now)
+                    .value();
             count += pick.object->endpoint().id.value() == "new" ? 1 : 0;
             picker.finish_attempt(pick,
                                   {pick.object->endpoint().id,
@@ -248,8 +259,11 @@
                                                upstream_standing::avoided,
                                                upstream_standing::recovering),
                              now);
-                     auto const pick = picker.choose(
-                         {{}, true, *rc::gen::arbitrary<std::uint64_t>()}, now);
+                     auto const pick =
+                         picker.choose({{},
+                                        routing::trial_permission::due,
+                                        *rc::gen::arbitrary<std::uint64_t>()},
+                                       now);
                      if (!pick)
                          continue;
                      RC_ASSERT(!leaving_ids.contains(picked_id(pick)));
--- a/unit_tests/routing/shared_choice_test.cpp
+++ b/unit_tests/routing/shared_choice_test.cpp
@@ -55,7 +55,8 @@
             picker.table()
                 ->find(listed(index).endpoint.id)
                 ->update_remote_load(slots / 2);
-        auto const pick = picker.choose({{}, false, instance}, start);
+        auto const pick = picker.choose(
+            {{}, routing::trial_permission::none, instance}, start);
         REQUIRE(pick);
         ++requests[pick.value().object->endpoint().id];
     }
--- a/unit_tests/routing/success_preference_test.cpp
+++ b/unit_tests/routing/success_preference_test.cpp
@@ -58,10 +58,9 @@
     auto const choose = [&](success_preference preference,
                             core::time_point now,
                             std::uint64_t random = 1,
-                            bool may_be_trial = false)
+                            trial_permission trial = trial_permission::none)
     {
-        auto chosen =
-            picker.choose({{}, may_be_trial, random, preference}, now);
+        auto chosen = picker.choose({{}, trial, random, preference}, now);
         REQUIRE(chosen);
         return std::move(chosen.value());
     };
@@ -122,10 +121,12 @@
     {
         picker.table()->publish({avoid("a")}, start);
         auto const later = start + 2s;
-        CHECK(choose(success_preference::oldest, later, 1, true).tier ==
-              pick_tier::own_domain);
+        CHECK(
+            choose(success_preference::oldest, later, 1, trial_permission::due)
+                .tier == pick_tier::own_domain);
         find("c")->record_success(later);
-        CHECK(choose(success_preference::oldest, later, 1, true).tier ==
-              pick_tier::trial);
+        CHECK(
+            choose(success_preference::oldest, later, 1, trial_permission::due)
+                .tier == pick_tier::trial);
     }
 }
--- a/unit_tests/routing/trial_order_test.cpp
+++ b/unit_tests/routing/trial_order_test.cpp
@@ -69,7 +69,8 @@
     for (auto now = start; now < end; now += request_interval)
     {
         picker.table()->publish(estimates.decide(now), now);
-        auto const pick = picker.choose({{}, true, 1}, now);
+        auto const pick =
+            picker.choose({{}, routing::trial_permission::due, 1}, now);
         if (!pick)
             continue;
         auto const& id = pick.value().object->endpoint().id;
