Read the store about once in each failure domain at a common start

Change: start_schedule decides about the first read. It starts with the list of instances, whose order of addresses all instances know before they have heard from each other. Contents of a store without a configuration are passed on as well.

--- a/kumquatloom/entry/instance_state.hpp
+++ b/kumquatloom/entry/instance_state.hpp
@@ -17,6 +17,7 @@
 #include <kumquatloom/limits/load_shedder.hpp>
 #include <kumquatloom/limits/quota_table.hpp>
 #include <kumquatloom/limits/stop_schedule.hpp>
+#include <kumquatloom/membership/replica_update.hpp>
 #include <kumquatloom/request/response_verdict.hpp>
 #include <kumquatloom/request/retry_counters.hpp>
 #include <kumquatloom/request/ticket_decider.hpp>
@@ -131,6 +132,8 @@
     core::counter_family<entry_event> events;
     /// Counts ignored entries in the list of upstreams.
     core::counter_family<routing::entry_fault> ignored_entries;
+    /// Counts updates of the copy of the store.
+    core::counter_family<membership::replica_update> replica_updates;
     /// Bounds the memory for buffered responses of upstreams.
     memory_budget buffered_answers;
     /// Bounds the memory for buffered requests of callers.
--- a/kumquatloom/entry/metrics_page.cpp
+++ b/kumquatloom/entry/metrics_page.cpp
@@ -26,6 +26,7 @@
     add("kumquatloom_shed_total", "priority", state.shedder.shed());
     add("kumquatloom_events_total", "event", state.events);
     add("kumquatloom_ignored_entries_total", "reason", state.ignored_entries);
+    add("kumquatloom_replica_updates_total", "kind", state.replica_updates);
     add_services(state);
     if (state.quotas != nullptr && state.quotas->is_enabled())
         add(*state.quotas);
--- a/kumquatloom/hosting/hosted_instance.cpp
+++ b/kumquatloom/hosting/hosted_instance.cpp
@@ -16,6 +16,7 @@
 #include <kumquatloom/hosting/replica_snapshot.hpp>
 #include <kumquatloom/hosting/replica_updater.hpp>
 #include <kumquatloom/limits/stop_schedule.hpp>
+#include <kumquatloom/membership/start_schedule_settings.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -58,7 +59,9 @@
 /// was read: one round trip and one scheduling delay of a loaded instance.
 constexpr std::chrono::milliseconds hello_reply_time{40};
 /// Delay before another attempt to access the list of instances.
-constexpr std::chrono::milliseconds announce_retry_delay{1000};
+constexpr std::chrono::milliseconds announce_retry_delay{500};
+/// Interval between hello messages to the seeds while there are no contents.
+constexpr std::chrono::milliseconds greeting_interval{1000};
 /// Percentage of the retry budget that is used. The platform counts the budget
 /// in time windows that are not aligned with those of this instance.
 constexpr unsigned retry_budget_use_percent = 85;
@@ -200,23 +203,30 @@
                },
                [this](std::string const& host, neighbour_message const& message)
                {
-                   updater.apply_message(host, message);
+                   if (is_own_region(message.domain) ||
+                       updater.needs_other_regions(core::clock::now()))
+                       updater.apply_message(host, message);
                }})
-        , updater(
-              context,
-              replica,
-              store,
-              settings.listen.neighbours.port,
-              read_schedule,
-              [this](store_replica::change const& change)
-              {
-                  publish_change(change);
-              },
-              [this](std::vector<std::string> const& hosts)
-              {
-                  for (auto const& host : hosts)
-                      messenger.add_instance(host);
-              })
+        , updater(context,
+                  replica,
+                  store,
+                  messenger.neighbours(),
+                  state.replica_updates,
+                  settings.listen.neighbours.port,
+                  read_schedule,
+                  {[this](store_replica::change const& change)
+                   {
+                       publish_change(change);
+                   },
+                   [this](std::vector<std::string> const& hosts)
+                   {
+                       for (auto const& host : hosts)
+                           messenger.add_instance(host);
+                   },
+                   [this]
+                   {
+                       messenger.send_now();
+                   }})
         , snapshot_server(context,
                           to_tcp_endpoint(settings.listen.neighbours),
                           port_connections(settings),
@@ -225,6 +235,7 @@
                               return serve_contents(target);
                           })
         , timer(context)
+        , start_timer(context)
         , signals(context, SIGTERM, SIGINT, SIGHUP)
     {
         state.ready = false;
@@ -287,44 +298,75 @@
     }
 
     /// Adds this instance to the store's list of instances, reads the list, and
-    /// sends hello messages to the others.
+    /// sends hello messages to the others. Reads the list even if the store
+    /// refuses to add to it, since the list determines which instance reads the
+    /// contents.
     asio::awaitable<void> join()
     {
-        for (auto const& seed : settings.seeds)
-            messenger.send_hello(seed);
         announced_instance const self{settings.domain,
                                       settings.listen.neighbours.host};
-        asio::steady_timer retry_timer(context);
-        while (true)
-        {
-            auto const result = co_await store.announce(self);
-            if (result)
-                break;
-            core::log_warning("announcement_failed",
-                              {{"error", to_string(result.error())}});
-            retry_timer.expires_after(announce_retry_delay);
-            co_await retry_timer.async_wait(entry::as_result);
-        }
-        // Read the list only now: an instance that adds itself later finds this
-        // one in the list and contacts it.
+        asio::steady_timer join_timer(context);
+        bool announced = false;
         while (true)
         {
-            auto const instances = co_await store.announced_instances();
-            if (instances)
+            auto const began = core::clock::now();
+            if (!announced)
             {
-                for (auto const& other : instances.value())
-                    messenger.add_instance(other);
-                core::log_info("instances_listed",
-                               {{"count", instances.value().size()}});
-                quotas.mark_sources_complete();
-                instances_listed_at = core::clock::now();
-                co_return;
+                auto const result = co_await store.announce(self);
+                announced = result.has_value();
+                if (!announced)
+                    core::log_warning("announcement_failed",
+                                      {{"error", to_string(result.error())}});
             }
-            core::log_warning("instances_unknown",
-                              {{"error", to_string(instances.error())}});
-            retry_timer.expires_after(announce_retry_delay);
-            co_await retry_timer.async_wait(entry::as_result);
+            // Read the list only now: an instance that adds itself later finds
+            // this one in the list and contacts it.
+            auto const instances = co_await store.announced_instances();
+            if (instances)
+                apply_list(instances.value(), began);
+            else
+                core::log_warning("instances_unknown",
+                                  {{"error", to_string(instances.error())}});
+            if (announced && instances)
+                break;
+            join_timer.expires_after(announce_retry_delay);
+            co_await join_timer.async_wait(entry::as_result);
         }
+        quotas.mark_sources_complete();
+    }
+
+    /// Adds listed instances. The call before the one that returned the list
+    /// began at `began`.
+    void apply_list(std::vector<announced_instance> const& instances,
+                    core::time_point began)
+    {
+        auto const now = core::clock::now();
+        for (auto const& other : instances)
+            messenger.add_instance(other);
+        core::log_info("instances_listed", {{"count", instances.size()}});
+        updater.record_list(now - began, now);
+        if (instances_listed_at)
+            return;
+        instances_listed_at = now;
+        // The first read may be due before the next tick.
+        start_timer.expires_after(
+            membership::start_schedule_settings{}.reply_time);
+        start_timer.async_wait(
+            [this](entry::error_code error)
+            {
+                if (!error && !state.leaving)
+                    updater.tick(core::clock::now());
+            });
+    }
+
+    /// Sends hello messages to the seeds until there are contents: a seed may
+    /// start at the same time, or a message may be lost.
+    void greet_seeds(core::time_point now)
+    {
+        if (replica.as_of() || now < next_greeting)
+            return;
+        next_greeting = now + greeting_interval;
+        for (auto const& seed : settings.seeds)
+            messenger.send_hello(seed);
     }
 
     /// Runs the periodic tasks until the instance stops.
@@ -335,14 +377,16 @@
         while (true)
         {
             auto const now = core::clock::now();
+            greet_seeds(now);
             messenger.tick(now);
             accept_callers(now);
+            update_readiness();
             if (replica.as_of())
                 state.listing_as_of =
                     replica.as_of()->time_since_epoch().count();
             update_revocations(now);
             if (!state.leaving)
-                updater.tick(messenger.neighbours().own_rank(now), now);
+                updater.tick(now);
             if (now >= next_health_update)
             {
                 tracker.update_standings(now);
@@ -408,11 +452,11 @@
     }
 
     /// Marks the instance as ready once it has a configuration and accepts
-    /// callers.
+    /// callers, unless a read of the store may return a newer one.
     void update_readiness()
     {
         if (state.ready || !accepting || !replica.document() ||
-            !replica.as_of())
+            !updater.may_serve(core::clock::now()))
             return;
         state.ready = true;
         core::log_info("ready",
@@ -540,6 +584,13 @@
             page_config.write_directory(entries, settings.directory_ttl));
     }
 
+    /// Whether a failure domain belongs to the region of this instance.
+    bool is_own_region(core::failure_domain const& domain) const
+    {
+        return domain == settings.domain ||
+               settings.region_domains.contains(domain);
+    }
+
     /// Whether callers should use this instance.
     bool is_ready() const
     {
@@ -552,7 +603,7 @@
     {
         auto const now = core::clock::now();
         auto const since = parse_changes_target(target);
-        if (!replica.document() || (target != snapshot_path && !since))
+        if (!replica.has_contents() || (target != snapshot_path && !since))
             return entry::json_response(http::status::service_unavailable,
                                         "{}");
         std::string body;
@@ -675,9 +726,13 @@
     std::unique_ptr<entry::page_server> directory_server;
     /// Schedules tick().
     asio::steady_timer timer;
+    /// Schedules the first read of the store.
+    asio::steady_timer start_timer;
     asio::signal_set signals;
     /// Time at which the list of instances was read.
     std::optional<core::time_point> instances_listed_at;
+    /// Time of the next hello messages to the seeds.
+    core::time_point next_greeting;
     /// Whether the counts of many instances do not arrive.
     bool quota_sources_partial = false;
     /// Whether requests with a credential are refused, because the
--- a/kumquatloom/hosting/neighbour_message.hpp
+++ b/kumquatloom/hosting/neighbour_message.hpp
@@ -48,8 +48,8 @@
     /// hello message of an instance that has just started or has just added the
     /// receiver.
     bool wants_reply = false;
-    /// Whether the sender has the store's contents and a configuration in
-    /// force.
+    /// Whether the sender has the store's contents; see
+    /// store_replica::has_contents().
     bool has_contents = false;
     /// Store position of the sender's contents.
     store_position position;
--- a/kumquatloom/hosting/replica_updater.cpp
+++ b/kumquatloom/hosting/replica_updater.cpp
@@ -40,30 +40,53 @@
     asio::io_context& context,
     store_replica& replica,
     any_store const& store,
+    membership::neighbour_table const& neighbours,
+    update_counters& updates,
     std::uint16_t neighbour_port,
     membership::read_schedule_settings const& schedule,
-    change_handler replica_changed,
-    address_handler addresses_received)
+    hooks callbacks)
     : context_(context)
     , replica_(replica)
     , store_(store)
+    , neighbours_(neighbours)
+    , updates_(updates)
     , neighbour_port_(neighbour_port)
-    , replica_changed_(std::move(replica_changed))
-    , addresses_received_(std::move(addresses_received))
+    , hooks_(std::move(callbacks))
     , schedule_(schedule)
+    , start_({}, core::clock::now())
+    , max_age_(schedule.max_read_gap())
+    , random_(std::random_device{}())
 {
 }
 
-void replica_updater::tick(membership::domain_rank const& own_rank,
-                           core::time_point now)
+void replica_updater::record_list(core::duration took, core::time_point now)
+{
+    start_.record_list(took, now);
+}
+
+void replica_updater::tick(core::time_point now)
 {
     notify(replica_.expire(now));
-    if (read_running_ || !schedule_.is_due(own_rank, now))
+    if (!is_read_due(now))
         return;
     read_running_ = true;
     asio::co_spawn(context_, read_store(), asio::detached);
 }
 
+bool replica_updater::is_read_due(core::time_point now)
+{
+    if (read_running_ || !schedule_.is_due(neighbours_.own_rank(now), now))
+        return false;
+    if (replica_.as_of())
+        return true;
+    auto const rank = neighbours_.start_rank(start_.counts_silent(now), now);
+    if (!start_.is_due(rank, fetch_running_, now))
+        return false;
+    core::log_info("start_read",
+                   {{"rank", rank.rank}, {"instances", rank.size}});
+    return true;
+}
+
 void replica_updater::apply_message(std::string const& host,
                                     neighbour_message const& message)
 {
@@ -74,21 +97,37 @@
         if (replica_.as_of())
             schedule_.record_read(*replica_.as_of());
         notify(*change);
+        return;
     }
-    else if (!fetch_running_)
-    {
-        fetch_running_ = true;
-        asio::co_spawn(
-            context_, fetch_contents({host, neighbour_port_}), asio::detached);
-    }
+    std::uniform_real_distribution<double> draw(0, 1);
+    bool const takes_snapshot =
+        replica_.as_of() ||
+        start_.takes_snapshot(host, neighbours_.size(), draw(random_), now);
+    if (fetch_running_ || !takes_snapshot)
+        return;
+    fetch_running_ = true;
+    asio::co_spawn(
+        context_, fetch_contents({host, neighbour_port_}), asio::detached);
+}
+
+bool replica_updater::needs_other_regions(core::time_point now) const
+{
+    return schedule_.is_failing() ||
+           (!replica_.as_of() && start_.may_leave_region(now));
+}
+
+bool replica_updater::may_serve(core::time_point now) const
+{
+    return replica_.as_of() &&
+           (read_ended_ || now - *replica_.as_of() <= max_age_);
 }
 
 asio::awaitable<void> replica_updater::read_store()
 {
     auto const started_at = core::clock::now();
-    ++reads_;
     if (!history_lost_ && replica_.as_of())
     {
+        updates_.increment(membership::replica_update::changes_read);
         auto const position = replica_.position();
         auto changes = co_await store_.read_changes(position);
         history_lost_ = !changes && changes.error() ==
@@ -102,6 +141,7 @@
                           {{"upstreams", position.upstreams},
                            {"documents", position.configuration}});
     }
+    updates_.increment(membership::replica_update::whole_read);
     auto const page = co_await store_.read_all();
     read_ended(page, started_at);
 }
@@ -111,10 +151,12 @@
 {
     auto const now = core::clock::now();
     read_running_ = false;
+    read_ended_ = true;
     if (!result)
     {
-        ++failed_reads_;
+        updates_.increment(membership::replica_update::read_failed);
         schedule_.failed(now);
+        start_.failed(now);
         log_reachability(false, result.error());
         return;
     }
@@ -157,6 +199,7 @@
     auto const response = co_await client.fetch(target);
     if (!response)
     {
+        updates_.increment(membership::replica_update::neighbour_failed);
         // A snapshot from the same neighbour would fail as well.
         core::log_warning("changes_failed",
                           {{"neighbour", neighbour.host},
@@ -171,6 +214,7 @@
         core::log_warning("changes_malformed", {{"neighbour", neighbour.host}});
         co_return false;
     }
+    updates_.increment(membership::replica_update::neighbour_changes);
     core::log_info("changes_fetched",
                    {{"neighbour", neighbour.host},
                     {"age_ms", changes->age.count()},
@@ -190,23 +234,30 @@
     auto const response = co_await client.fetch(path);
     if (!response || response.value().status != status_ok)
     {
+        updates_.increment(membership::replica_update::neighbour_failed);
+        if (!replica_.as_of())
+            start_.fetch_failed(neighbour.host, core::clock::now());
         core::log_warning("snapshot_failed", {{"neighbour", neighbour.host}});
         co_return;
     }
     auto const snapshot = decode<replica_snapshot>(response.value().body);
     if (!snapshot)
     {
+        updates_.increment(membership::replica_update::neighbour_failed);
         core::log_warning("snapshot_malformed",
                           {{"neighbour", neighbour.host}});
         co_return;
     }
+    updates_.increment(membership::replica_update::snapshot);
     core::log_info("snapshot_fetched",
                    {{"neighbour", neighbour.host},
                     {"age_ms", snapshot->age.count()},
                     {"upstreams", snapshot->upstreams.size()}});
     auto const change =
         replica_.apply(*snapshot, requested_at, core::clock::now());
-    addresses_received_(snapshot->hosts);
+    // The snapshot of a seed lists the instances of its failure domain.
+    if (neighbours_.contains(neighbour.host))
+        hooks_.addresses_received(snapshot->hosts);
     contents_received(change);
 }
 
@@ -237,7 +288,11 @@
 void replica_updater::notify(store_replica::change const& change)
 {
     if (change.document_changed || change.upstreams_changed)
-        replica_changed_(change);
+        hooks_.replica_changed(change);
+    if (had_contents_ || !replica_.has_contents())
+        return;
+    had_contents_ = true;
+    hooks_.contents_available();
 }
 
 } // namespace kumquatloom::hosting
--- a/kumquatloom/hosting/store_replica.cpp
+++ b/kumquatloom/hosting/store_replica.cpp
@@ -149,12 +149,13 @@
                                            core::time_point now)
 {
     change result;
-    if (snapshot.document.empty())
+    if (snapshot.document.empty() && document_)
         return result;
     advance_to(requested_at - snapshot.age, now);
     if (snapshot.position.configuration >= position_.configuration)
     {
-        result.document_changed = apply_document(snapshot.document);
+        if (!snapshot.document.empty())
+            result.document_changed = apply_document(snapshot.document);
         position_.configuration = snapshot.position.configuration;
     }
     if (snapshot.position.upstreams >= position_.upstreams)
@@ -199,7 +200,7 @@
 void store_replica::fill_message(neighbour_message& message,
                                  core::time_point now) const
 {
-    message.has_contents = as_of_.has_value() && document_;
+    message.has_contents = has_contents();
     message.position = position_;
     message.own_reads = own_reads_;
     message.own_read_age = std::chrono::milliseconds::zero();
@@ -270,6 +271,7 @@
 {
     core::fault_list faults;
     auto parsed = parse_(text, faults);
+    document_rejected_ = !parsed;
     if (!parsed)
     {
         // Keep the current configuration if the new one is invalid.
--- a/kumquatloom/hosting/store_replica.hpp
+++ b/kumquatloom/hosting/store_replica.hpp
@@ -75,7 +75,8 @@
                                 core::time_point now);
 
     /// Applies the parts of a neighbour's snapshot of which the current
-    /// contents are not newer. `requested_at` is a time before the neighbour
+    /// contents are not newer. Ignores one without a configuration if there is
+    /// one here. `requested_at` is a time before the neighbour
     /// created the snapshot.
     change apply(replica_snapshot const& snapshot,
                  core::time_point requested_at,
@@ -120,6 +121,14 @@
         return as_of_;
     }
 
+    /// Whether neighbours may take these contents for those of the store. A
+    /// store without a configuration has contents as well, but an instance that
+    /// can't read the configuration has none to give.
+    bool has_contents() const
+    {
+        return as_of_ && (document_ || !document_rejected_);
+    }
+
     /// Position in the store up to which the contents are complete.
     store_position const& position() const
     {
@@ -159,6 +168,8 @@
     /// The configuration in force, parsed and as sent to neighbours.
     boost::intrusive_ptr<document::document> document_;
     std::string document_text_;
+    /// Whether the last configuration was rejected.
+    bool document_rejected_ = false;
     /// Listed upstreams.
     routing::upstream_registry registry_;
     /// Position and time of the contents.
--- a/kumquatloom/membership/neighbour_table.cpp
+++ b/kumquatloom/membership/neighbour_table.cpp
@@ -106,4 +106,20 @@
     return result;
 }
 
+domain_rank neighbour_table::start_rank(bool counts_silent,
+                                        core::time_point now) const
+{
+    domain_rank result;
+    for (auto const& [host, item] : neighbours_)
+    {
+        bool const is_live = now - item.last_heard < settings_.suspect_after;
+        if (is_live ? item.leaving : !counts_silent)
+            continue;
+        ++result.size;
+        if (host < own_host_)
+            ++result.rank;
+    }
+    return result;
+}
+
 } // namespace kumquatloom::membership
--- a/kumquatloom/membership/neighbour_table.hpp
+++ b/kumquatloom/membership/neighbour_table.hpp
@@ -56,6 +56,12 @@
         return neighbours_.contains(host);
     }
 
+    /// Number of neighbours, including silent ones.
+    std::size_t size() const
+    {
+        return neighbours_.size();
+    }
+
     /// Addresses of all neighbours, including silent ones.
     std::vector<std::string> addresses() const;
 
@@ -71,6 +77,11 @@
     /// order.
     domain_rank own_rank(core::time_point now) const;
 
+    /// Rank of this instance in the order of addresses, which instances that
+    /// start together know before they have heard from each other. Those that
+    /// were not heard from count if `counts_silent`.
+    domain_rank start_rank(bool counts_silent, core::time_point now) const;
+
 private:
     neighbour_settings settings_;
     std::string own_host_;
--- a/stand_ins/platform_store_stand_in.cpp
+++ b/stand_ins/platform_store_stand_in.cpp
@@ -178,6 +178,7 @@
 
 http_reply platform_store_stand_in::handle_newest(std::string_view target)
 {
+    ++listings_[query_string(target, "topic")];
     auto& state = topics_[query_string(target, "topic")];
     auto const after = query_string(target, "after");
     json::array items;
--- a/stand_ins/platform_store_stand_in.hpp
+++ b/stand_ins/platform_store_stand_in.hpp
@@ -61,6 +61,13 @@
         return calls_;
     }
 
+    /// Number of requests so far for the newest records of a topic.
+    std::uint64_t listings(std::string const& topic) const
+    {
+        auto const known = listings_.find(topic);
+        return known == listings_.end() ? 0 : known->second;
+    }
+
 private:
     /// A record with its offset.
     struct stored_record
@@ -94,6 +101,8 @@
     store_behaviour behaviour_ = store_behaviour::normal;
     /// See calls().
     std::uint64_t calls_ = 0;
+    /// See listings(), by topic.
+    std::map<std::string, std::uint64_t, std::less<>> listings_;
     /// The HTTP server.
     http_server server_;
 };
--- a/unit_tests/hosting/store_replica_test.cpp
+++ b/unit_tests/hosting/store_replica_test.cpp
@@ -432,3 +432,50 @@
     bool const are_redacted = changes->document == "7";
     CHECK(are_redacted);
 }
+
+// Guards against instances that all poll a store without a configuration, since
+// none of them passes on that it has read it.
+TEST_CASE("an empty store is passed on to neighbours", "[hosting]")
+{
+    store_replica reader(parse);
+    reader.apply(page(std::nullopt, {listed("a")}, {0, 1}), start, start);
+    store_replica other(parse);
+    REQUIRE(message_of(reader, start).has_contents);
+    REQUIRE_FALSE(other.apply(message_of(reader, start), start));
+    other.apply(reader.snapshot(start), start, start);
+    CHECK(other.position().upstreams == 1);
+    CHECK(other.upstreams().listing().size() == 1);
+
+    SECTION("a later read of the neighbour counts for this instance")
+    {
+        auto const later = start + 700ms;
+        reader.apply(page(std::nullopt, {}, {0, 1}), later, later);
+        REQUIRE(other.apply(message_of(reader, later), later));
+        CHECK(other.as_of() == later);
+    }
+
+    SECTION("the first configuration reaches it as a change")
+    {
+        auto const since = other.position();
+        reader.apply(page("1", {}, {1, 1}), start + 1s, start + 1s);
+        CHECK_FALSE(other.apply(message_of(reader, start + 1s), start + 1s));
+        auto const changes = reader.changes_since(since, start + 1s);
+        REQUIRE(changes);
+        CHECK(other.apply(*changes, start + 1s, start + 1s).document_changed);
+    }
+
+    SECTION("it doesn't replace a configuration")
+    {
+        store_replica served(parse);
+        served.apply(page("1", {}, {1, 0}), start, start);
+        served.apply(reader.snapshot(start), start, start);
+        CHECK(served.document());
+        CHECK(served.position().configuration == 1);
+    }
+
+    SECTION("a configuration that can't be read here is not passed on")
+    {
+        reader.apply(page("odd", {}, {1, 1}), start, start);
+        CHECK_FALSE(message_of(reader, start).has_contents);
+    }
+}
--- /dev/null
+++ b/unit_tests/platform/mass_restart_test.cpp
@@ -0,0 +1,193 @@
+#include <kumquatloom/core/logging.hpp>
+#include <kumquatloom/hosting/hosted_instance.hpp>
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <catch2/catch.hpp>
+
+#include <chrono>
+#include <functional>
+#include <latch>
+#include <memory>
+#include <platform/dialect.hpp>
+#include <platform/store_client.hpp>
+#include <stand_ins/platform_store_stand_in.hpp>
+#include <string>
+#include <thread>
+#include <unit_tests/entry/raw_caller.hpp>
+#include <unit_tests/platform/platform_fixture.hpp>
+#include <unit_tests/platform/program_process.hpp>
+#include <vector>
+
+namespace
+{
+
+using namespace kumquatloom;
+using namespace kumquatloom::unit_tests;
+using namespace std::chrono_literals;
+
+constexpr unsigned instance_count = 8;
+
+std::string const configuration =
+    R"({"version":1,"routes":{"columns":["name","host","pathPrefix","kind",)"
+    R"("timeoutS","targetLatencyS","priority","split","maxAttempts",)"
+    R"("service"],"rows":[["read","shop.example","/","safe",20,5,2,null,2,)"
+    R"("shop"]]},"services":{"columns":["name"],"rows":[["shop"]]},"limits":)"
+    R"({"maxHeaderBytes":16384,"maxBodyBytes":65536,"headerTimeoutS":3,)"
+    R"("idleTimeoutS":15}})";
+
+std::string address_of(unsigned number)
+{
+    return "127.199.0." + std::to_string(number + 1);
+}
+
+/// Instances of one failure domain in this process, and their store.
+class domain_fixture
+{
+public:
+    domain_fixture()
+        : store_(context_, {"127.0.0.1", 0})
+    {
+        core::configure_logging("error");
+        store_thread_ = std::thread(
+            [this]
+            {
+                auto const guard = boost::asio::make_work_guard(context_);
+                context_.run();
+            });
+    }
+
+    ~domain_fixture()
+    {
+        for (auto const& instance : instances_)
+            instance->begin_shutdown();
+        for (auto& thread : threads_)
+            thread.join();
+        context_.stop();
+        store_thread_.join();
+    }
+
+    /// Calls a function on the store's thread and returns its result.
+    std::uint64_t with_store(
+        std::function<std::uint64_t(stand_ins::platform_store_stand_in&)> const&
+            function)
+    {
+        std::uint64_t result = 0;
+        std::latch done(1);
+        boost::asio::post(context_,
+                          [&]
+                          {
+                              result = function(store_);
+                              done.count_down();
+                          });
+        done.wait();
+        return result;
+    }
+
+    void put(std::string const& topic,
+             std::string const& key,
+             std::string const& value)
+    {
+        with_store(
+            [&](stand_ins::platform_store_stand_in& store)
+            {
+                store.put(topic, key, value);
+                return 0;
+            });
+    }
+
+    std::uint64_t whole_reads()
+    {
+        return with_store(
+            [](stand_ins::platform_store_stand_in& store)
+            {
+                return store.listings("keyed.op");
+            });
+    }
+
+    void start(unsigned number)
+    {
+        settings::endpoint const any_port{address_of(number), 0};
+        hosting::hosted_settings settings;
+        settings.id = core::instance_id("front-" + std::to_string(number));
+        settings.domain = core::failure_domain("west");
+        settings.region = core::region("north");
+        settings.region_domains = {settings.domain};
+        settings.listen = {any_port,
+                           any_port,
+                           any_port,
+                           {any_port.host, program_process::neighbours_port},
+                           any_port};
+        settings.store = store_.local_endpoint();
+        settings.grace = 1s;
+        auto const client = std::make_shared<platform::store_client const>(
+            settings.store,
+            platform::region_map{{settings.domain, settings.region}});
+        instances_.push_back(std::make_unique<hosting::hosted_instance>(
+            settings,
+            hosting::make_any_store(client),
+            platform::dialect,
+            hosting::hosted_instance::page_settings{
+                {platform::readiness_path, platform::resolve_path}, {}}));
+        threads_.emplace_back(
+            [instance = instances_.back().get()]
+            {
+                instance->run([] {});
+            });
+    }
+
+    void wait_until_ready()
+    {
+        for (unsigned number = 0; number < instances_.size(); ++number)
+            platform_fixture::wait_until(
+                [&]
+                {
+                    raw_caller caller(instances_[number]->readiness_port(),
+                                      address_of(number));
+                    auto const response = caller.exchange(
+                        "GET /readiness HTTP/1.1\r\nHost: platform\r\n\r\n");
+                    return response && response->result_int() == 200;
+                });
+    }
+
+private:
+    boost::asio::io_context context_;
+    stand_ins::platform_store_stand_in store_;
+    std::thread store_thread_;
+    std::vector<std::unique_ptr<hosting::hosted_instance>> instances_;
+    std::vector<std::thread> threads_;
+};
+
+} // namespace
+
+// Guards against a read of the whole store by each instance that starts while
+// the others of its failure domain do.
+TEST_CASE("instances that start together share reads of the store",
+          "[platform]")
+{
+    domain_fixture domain;
+
+    SECTION("after a restart of all of them")
+    {
+        domain.put("keyed.op", "config", configuration);
+        for (unsigned number = 0; number < instance_count; ++number)
+            domain.put("keyed.instances",
+                       "west/" + address_of(number),
+                       address_of(number));
+        for (unsigned number = 0; number < instance_count; ++number)
+            domain.start(number);
+        domain.wait_until_ready();
+        CHECK(domain.whole_reads() <= 2);
+    }
+
+    SECTION("at their first start, before there is a configuration")
+    {
+        for (unsigned number = 0; number < instance_count; ++number)
+            domain.start(number);
+        std::this_thread::sleep_for(1500ms);
+        domain.put("keyed.op", "config", configuration);
+        domain.wait_until_ready();
+        CHECK(domain.whole_reads() <= 4);
+    }
+}
