--- a/kumquatloom/hosting/replica_updater.cpp
+++ b/kumquatloom/hosting/replica_updater.cpp
@@ -102,7 +102,8 @@
     std::uniform_real_distribution<double> draw(0, 1);
     bool const takes_snapshot =
         replica_.as_of() ||
-        start_.takes_snapshot(host, neighbours_.size(), draw(random_), now);
+        start_.takes_snapshot(
+            host, neighbours_.own_rank(now).size, draw(random_), now);
     if (fetch_running_ || !takes_snapshot)
         return;
     fetch_running_ = true;
--- a/kumquatloom/membership/neighbour_table.hpp
+++ b/kumquatloom/membership/neighbour_table.hpp
@@ -56,12 +56,6 @@
         return neighbours_.contains(host);
     }
 
-    /// Number of neighbours, including silent ones.
-    std::size_t size() const
-    {
-        return neighbours_.size();
-    }
-
     /// Addresses of all neighbours, including silent ones.
     std::vector<std::string> addresses() const;
 
--- a/kumquatloom/membership/start_schedule.cpp
+++ b/kumquatloom/membership/start_schedule.cpp
@@ -51,7 +51,7 @@
 }
 
 bool start_schedule::takes_snapshot(std::string const& host,
-                                    std::size_t neighbours,
+                                    std::size_t receivers,
                                     double draw,
                                     core::time_point now) const
 {
@@ -59,7 +59,7 @@
     if (failed != failed_fetches_.end() &&
         now - failed->second < settings_.source_retry)
         return false;
-    return draw * static_cast<double>(neighbours) <
+    return draw * static_cast<double>(receivers) <
            static_cast<double>(settings_.snapshots_per_message);
 }
 
--- a/kumquatloom/membership/start_schedule.hpp
+++ b/kumquatloom/membership/start_schedule.hpp
@@ -45,11 +45,11 @@
     /// Records that a snapshot could not be fetched from a neighbour.
     void fetch_failed(std::string const& host, core::time_point now);
 
-    /// Whether to fetch a snapshot from the sender of a message, which is one
-    /// of this number of neighbours. `draw` is a random number of at least 0
-    /// and below 1.
+    /// Whether to fetch a snapshot from the sender of a message, which this
+    /// number of live instances have received. `draw` is a random number of at
+    /// least 0 and below 1.
     bool takes_snapshot(std::string const& host,
-                        std::size_t neighbours,
+                        std::size_t receivers,
                         double draw,
                         core::time_point now) const;
 
--- a/unit_tests/membership/start_schedule_test.cpp
+++ b/unit_tests/membership/start_schedule_test.cpp
@@ -193,8 +193,10 @@
             send(to, from, false);
         if (instances[from].has_contents && !target.has_contents &&
             !target.fetch_end &&
-            target.first.takes_snapshot(
-                address_of(from), target.table.size(), roll() / 1000.0, now))
+            target.first.takes_snapshot(address_of(from),
+                                        target.table.own_rank(now).size,
+                                        roll() / 1000.0,
+                                        now))
         {
             bool const is_cut = cuts.contains({to, from});
             target.fetch_end = now + (is_cut ? 1000ms : 2 * call_time);
