--- a/kumquatloom/membership/neighbour_table.hpp
+++ b/kumquatloom/membership/neighbour_table.hpp
@@ -71,6 +71,11 @@
     /// order.
     domain_rank own_rank(core::time_point now) const;
 
+    /// Rank of this instance in the order of addresses, which instances that
+    /// start together know before they have heard from each other. Those that
+    /// were not heard from count if `counts_silent`.
+    domain_rank start_rank(bool counts_silent, core::time_point now) const;
+
 private:
     neighbour_settings settings_;
     std::string own_host_;
