State when a token of a quota is available

The delay in a 429 was bounded by 10 s and cut to whole milliseconds, so a caller of an organisation with less than one request in 10 s, or one that returned on time, found no token. The delay at the whole rate is no longer bounded, and delays are rounded up.

--- a/kumquatloom/entry/local_response.cpp
+++ b/kumquatloom/entry/local_response.cpp
@@ -11,12 +11,11 @@
 namespace
 {
 
-/// Seconds with three decimal places. Callers that need a coarser value round
-/// it.
+/// Seconds with three decimal places, rounded up so that callers don't return
+/// before the time. Callers that need a coarser value round it.
 std::string seconds_text(core::duration time)
 {
-    auto const ms =
-        std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+    auto const ms = std::chrono::ceil<std::chrono::milliseconds>(time).count();
     auto fraction = std::to_string(1000 + ms % 1000);
     fraction.front() = '.';
     return std::to_string(ms / 1000) + fraction;
--- a/kumquatloom/limits/quota_table.cpp
+++ b/kumquatloom/limits/quota_table.cpp
@@ -70,9 +70,13 @@
 /// Instances rarely all use their allowance at the same moment.
 constexpr double allowance_factor = 2;
 constexpr double min_allowance = 2;
-/// Bounds of the suggested retry delay.
+/// Bounds of the suggested retry delay. At the whole rate of the quota it may
+/// be longer; sources that are not observed lengthen it only up to the bound,
+/// because they may return at any time.
 constexpr double min_retry_s = 0.1;
 constexpr double max_retry_s = 10;
+/// Bounds what rates of almost zero lead to.
+constexpr double longest_retry_s = 86400;
 
 double seconds(core::duration time)
 {
@@ -234,7 +238,11 @@
     ++refused_;
     double const rate = entry.limit.rate_per_s * fraction_;
     double const missing = std::max(competing - available, 1.0);
-    double const wait = std::clamp(missing / rate, min_retry_s, max_retry_s);
+    double const wait = std::clamp(missing / rate,
+                                   min_retry_s,
+                                   std::clamp(missing / entry.limit.rate_per_s,
+                                              max_retry_s,
+                                              longest_retry_s));
     double const offered = others.offered_rate + entry.offered_rate.value(now);
     std::uniform_real_distribution<double> spread(
         1, 1 + std::clamp(offered / rate, 0.5, max_spread));
--- a/unit_tests/limits/quota_table_test.cpp
+++ b/unit_tests/limits/quota_table_test.cpp
@@ -90,6 +90,19 @@
     }
 }
 
+// Guards against callers of an organisation with a low rate that return before
+// a token is there.
+TEST_CASE("a low rate states a long delay", "[quota]")
+{
+    quota_table table({.tolerance = 0}, {own_key, 100, own_key}, start - 1h);
+    table.mark_sources_complete();
+    table.configure({{organisation, 0.001F, 1}}, start - 1h);
+    take_all(table, start);
+    auto const refused = table.try_take(organisation, start);
+    REQUIRE_FALSE(refused.admitted);
+    CHECK(table.try_take(organisation, start + refused.retry_after).admitted);
+}
+
 // Guards against a process that admits a whole burst after each restart.
 TEST_CASE("a new process starts without credit", "[quota]")
 {
