Report the worst tenth of organisations in the quota model

The experiment gave one figure for all organisations and always seven times the usual load. It now also prints the refusals within the quota of the worst tenth, the rate of the organisation with the worst window, and takes the factor of the load.

--- a/measure/main.cpp
+++ b/measure/main.cpp
@@ -136,6 +136,7 @@
     setup.event = parsed["fault"].as<std::string>();
     setup.instances = parsed["instances"].as<unsigned>();
     setup.callers = parsed["callers"].as<unsigned>();
+    setup.hot_factor = parsed["hot-factor"].as<double>();
     setup.duration = std::chrono::seconds(parsed["duration"].as<unsigned>());
     setup.seed = parsed["seed"].as<std::uint64_t>();
     if (setup.instances == 0)
@@ -225,6 +226,11 @@
         "refusals or hot-organisation",
         cxxopts::value<text>()->default_value("none"),
         "NAME");
+    add("hot-factor",
+        "multiple of the usual load in the events hot and all-hot of the "
+        "experiment quotas",
+        cxxopts::value<double>()->default_value("7"),
+        "N");
     add("policy",
         "baseline or current; in the experiment shared-choice least-used "
         "(current), least-used-of-all or free-slots; in the experiment "
--- a/measure/quota_experiment.cpp
+++ b/measure/quota_experiment.cpp
@@ -4,11 +4,14 @@
 #include <cmath>
 #include <cstddef>
 #include <deque>
+#include <functional>
 #include <measure/event_queue.hpp>
 #include <measure/quota_experiment.hpp>
 #include <measure/quota_fleet.hpp>
+#include <numeric>
 #include <random>
 #include <stdexcept>
+#include <utility>
 #include <vector>
 
 namespace kumquatloom::measure
@@ -24,7 +27,6 @@
 constexpr double lowest_rate = 2;
 constexpr double zipf_exponent = 1.2;
 constexpr double usual_load = 1 / 1.6;
-constexpr double hot_factor = 7;
 constexpr double lowered_factor = 0.25;
 constexpr auto step = 2ms;
 constexpr auto warm_up = 5s;
@@ -40,6 +42,16 @@
     return std::chrono::duration<double>(time).count();
 }
 
+/// Mean of the highest tenth of the values.
+double worst_tenth(std::vector<double> values)
+{
+    constexpr std::size_t parts = 10;
+    std::sort(values.begin(), values.end(), std::greater<>());
+    values.resize((values.size() + parts - 1) / parts);
+    return std::accumulate(values.begin(), values.end(), 0.0) /
+           static_cast<double>(std::max<std::size_t>(values.size(), 1));
+}
+
 /// A token bucket whose burst is the rate of one second.
 struct bucket
 {
@@ -257,7 +269,7 @@
         bool const during = time >= event_start && time < event_end;
         bool const is_hot = during && (setup_.event == "all-hot" ||
                                        (setup_.event == "hot" && index == 0));
-        return organisations_[index].usual * (is_hot ? hot_factor : 1);
+        return organisations_[index].usual * (is_hot ? setup_.hot_factor : 1);
     }
 
     void renew_leases()
@@ -320,13 +332,20 @@
     boost::json::object result() const
     {
         double worst = 0;
+        double worst_rate = 0;
         double within = 0;
         double missing = 0;
+        std::vector<double> refused;
         for (auto const& item : organisations_)
         {
+            if (item.worst > worst)
+                worst_rate = item.rate;
             worst = std::max(worst, item.worst);
+            double const item_missing =
+                std::max(item.within_quota - item.admitted, 0.0);
             within += item.within_quota;
-            missing += std::max(item.within_quota - item.admitted, 0.0);
+            missing += item_missing;
+            refused.push_back(item_missing / std::max(item.within_quota, 1.0));
         }
         bool const is_exchanged = setup_.policy == "counts";
         double const total = seconds(setup_.duration) * setup_.instances;
@@ -335,7 +354,9 @@
         figures["event"] = setup_.event;
         figures["instances"] = setup_.instances;
         figures["worst_window"] = worst;
+        figures["worst_window_rate_per_s"] = worst_rate;
         figures["refused_within_quota"] = missing / within;
+        figures["refused_worst_tenth"] = worst_tenth(std::move(refused));
         figures["datagrams_per_instance_s"] =
             is_exchanged ? static_cast<double>(fleet_.datagrams) / total : 0;
         figures["bytes_per_instance_s"] =
--- a/measure/quota_experiment.hpp
+++ b/measure/quota_experiment.hpp
@@ -20,6 +20,9 @@
     /// "usual", "hot", "all-hot", "partition", "pause", "restart" or "lower".
     std::string event = "usual";
     unsigned instances = 120;
+    /// Multiple of the usual load that organisations send in the events "hot"
+    /// and "all-hot".
+    double hot_factor = 7;
     /// Instances that an organisation's callers use; 0 for all.
     unsigned callers = 0;
     std::chrono::seconds duration{60};
@@ -29,7 +32,8 @@
 /// Runs the experiment in simulated time. `worst_window` is the largest number
 /// of requests in a window relative to the bound, `refused_within_quota` the
 /// part of the requests within the quota that was not served although a single
-/// token bucket that sees all requests would have.
+/// token bucket that sees all requests would have, `refused_worst_tenth` the
+/// same for the tenth of the organisations that has the most of them.
 boost::json::object run_quota_experiment(quota_scenario const& setup);
 
 } // namespace kumquatloom::measure
