--- a/unit_tests/entry/raw_caller.cpp
+++ b/unit_tests/entry/raw_caller.cpp
@@ -65,6 +65,7 @@
 std::optional<received_response> raw_caller::receive(bool without_body)
 {
     http::response_parser<http::string_body> parser;
+    parser.body_limit(boost::none);
     parser.skip(without_body);
     boost::system::error_code error;
     http::read(socket_, buffer_, parser, error);
@@ -79,6 +80,11 @@
     return receive();
 }
 
+void raw_caller::wait_for_response()
+{
+    socket_.wait(boost::asio::ip::tcp::socket::wait_read);
+}
+
 bool raw_caller::ended()
 {
     char byte = 0;
@@ -87,6 +93,11 @@
            socket_.read_some(asio::buffer(&byte, 1), error) == 0;
 }
 
+void raw_caller::close_sending()
+{
+    socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_send);
+}
+
 void raw_caller::close()
 {
     socket_.close();
--- a/unit_tests/entry/raw_caller.hpp
+++ b/unit_tests/entry/raw_caller.hpp
@@ -48,6 +48,9 @@
     /// `without_body` is for responses to HEAD.
     std::optional<received_response> receive(bool without_body = false);
 
+    /// Blocks until the first bytes of a response have arrived.
+    void wait_for_response();
+
     /// Sends a request and reads its response.
     std::optional<received_response> exchange(std::string_view request);
 
@@ -55,6 +58,9 @@
     /// Blocks until it does either.
     bool ended();
 
+    /// Closes the sending side only.
+    void close_sending();
+
     void close();
 
 private:
