Check the key again when a request gets its connection

Cause: a request that had a slot of an upstream and waited for a connection to it was sent although its key had been removed. With pipelined requests several of one connection wait there. Change: the exchange checks the credential where it checks whether the upstream has left, before the first byte is written. The request is refused as not run.

--- a/kumquatloom/entry/exchange_result.hpp
+++ b/kumquatloom/entry/exchange_result.hpp
@@ -20,8 +20,8 @@
     connect_failure,
     /// No pooled connection became available before the deadline.
     no_connection,
-    /// Not written, because the deadline had passed or the request may already
-    /// be running at another upstream.
+    /// Not written, because the deadline had passed, the caller's key had been
+    /// removed, or the request may already be running at another upstream.
     not_written,
     /// Not written, because the upstream announced its departure or asked for a
     /// pause after it was chosen.
--- a/kumquatloom/entry/request_execution.cpp
+++ b/kumquatloom/entry/request_execution.cpp
@@ -249,8 +249,7 @@
     }
     upstream_exchange single_exchange(resources_.state,
                                       {inbound_,
-                                       admitted_.table->access(),
-                                       admitted_.organisation,
+                                       admitted_,
                                        attempts_,
                                        item.number,
                                        item.until,
--- a/kumquatloom/entry/upstream_exchange.cpp
+++ b/kumquatloom/entry/upstream_exchange.cpp
@@ -1,3 +1,4 @@
+#include <kumquatloom/admission/credential_check.hpp>
 #include <kumquatloom/admission/header_filter.hpp>
 #include <kumquatloom/core/digest.hpp>
 #include <kumquatloom/core/http_status.hpp>
@@ -230,7 +231,11 @@
     // while this request waited for a connection.
     if (task_.target.is_leaving() || task_.target.is_held(sent_at_))
         co_return fail(exchange_status::withdrawn);
-    if (task_.cancel.requested() ||
+    // The key of the caller may have been removed in the meantime.
+    auto const table = state_.gate.table();
+    bool const is_authorised =
+        !table || admission::is_credential_valid(task_.admitted, *table);
+    if (!is_authorised || task_.cancel.requested() ||
         !task_.attempts.begin_write(task_.number, sent_at_))
         co_return fail(exchange_status::not_written);
     auto const [error, size] =
@@ -332,13 +337,16 @@
     auto const& dialect = state_.dialect;
     std::string head(request.method_string());
     head.append(" ").append(request.target()).append(" HTTP/1.1\r\n");
-    for (auto const& field : admission::fields_for_upstream(
-             task_.inbound.header().fields, dialect, task_.access))
+    for (auto const& field :
+         admission::fields_for_upstream(task_.inbound.header().fields,
+                                        dialect,
+                                        task_.admitted.table->access()))
         if (!request::same_name(field.name, "Content-Length"))
             append_header(field.name, field.value, head);
     append_header(dialect.request_id, id_.value(), head);
-    if (!dialect.organisation.empty() && !task_.organisation.value().empty())
-        append_header(dialect.organisation, task_.organisation.value(), head);
+    auto const& organisation = task_.admitted.organisation.value();
+    if (!dialect.organisation.empty() && !organisation.empty())
+        append_header(dialect.organisation, organisation, head);
     if (!dialect.expected_upstream.empty())
         append_header(dialect.expected_upstream,
                       task_.target.endpoint().id.value(),
--- a/kumquatloom/entry/upstream_exchange.hpp
+++ b/kumquatloom/entry/upstream_exchange.hpp
@@ -1,9 +1,9 @@
 #ifndef KUMQUATLOOM_ENTRY_UPSTREAM_EXCHANGE_HPP
 #define KUMQUATLOOM_ENTRY_UPSTREAM_EXCHANGE_HPP
 
+#include <kumquatloom/admission/admitted_request.hpp>
 #include <kumquatloom/core/clock.hpp>
 #include <kumquatloom/core/ids.hpp>
-#include <kumquatloom/document/document.hpp>
 #include <kumquatloom/entry/cancellation.hpp>
 #include <kumquatloom/entry/exchange_result.hpp>
 #include <kumquatloom/entry/upstream_pool.hpp>
@@ -33,10 +33,8 @@
     {
         /// The inbound request.
         inbound_request const& inbound;
-        /// Whether the caller had to authenticate, and its organisation; empty
-        /// if it didn't.
-        document::access_rule access;
-        core::organisation_name const& organisation;
+        /// The result of its admission.
+        admission::admitted_request const& admitted;
         /// State of all attempts of the request.
         request::attempt_state& attempts;
         /// Index of this attempt in `attempts`.
--- a/unit_tests/entry/pipelined_failures_test.cpp
+++ b/unit_tests/entry/pipelined_failures_test.cpp
@@ -1,3 +1,5 @@
+#include <kumquatloom/document/parse_document.hpp>
+
 #include <catch2/catch.hpp>
 
 #include <chrono>
@@ -7,6 +9,7 @@
 namespace
 {
 
+using namespace kumquatloom;
 using namespace kumquatloom::unit_tests;
 using namespace std::chrono_literals;
 
@@ -67,6 +70,25 @@
     CHECK((response->body() == body));
 }
 
+/// Publishes a document in which the credential of the caller is unknown.
+void remove_credential(entry_fixture& fixture)
+{
+    core::fault_list faults;
+    std::string const zeros(64, '0');
+    auto const document = document::parse_document(
+        R"({"owners":{"platform":{"public_key_hex":")" + zeros +
+            R"("},"team":{"public_key_hex":")" + zeros +
+            R"("}},"sections":{"shop":{"owner":"team","services":{"shop":
+{"expected_upstreams":2,"floor":0.5,"slots":6,"timeout_ms":20000}},
+"organisations":{"toys":{"credential_sha256_hex":[")" +
+            zeros + R"("]}},"routes":[{"prefix":"/","service":"shop",
+"organisations":["toys"],"deadline_ms":20000}]}},
+"fleet":{"expected_entry_instances":{"region":1}}})",
+        faults);
+    REQUIRE(faults.empty());
+    fixture.instance().publish(document);
+}
+
 } // namespace
 
 // Guards against requests that go on or reach an upstream after a response of
@@ -197,3 +219,35 @@
     CHECK(event(fixture, "request-started-beside") == 0);
     CHECK(upstream.executions() == 3);
 }
+
+// Guards against a request that runs after its key was removed because it was
+// admitted before it waited for a slot or a connection behind others.
+TEST_CASE("a removed key refuses pipelined requests that wait for an upstream",
+          "[entry][pipelined]")
+{
+    entry_fixture fixture;
+    auto& upstream = fixture.add_upstream(respond);
+    // The upstream has six slots, but a worker has four connections to it.
+    constexpr unsigned connections = 4;
+    fixture.settings.threads = 1;
+    fixture.settings.upstreams.connections_per_upstream = connections;
+    fixture.start();
+    raw_caller caller(fixture.instance().callers_port());
+    std::string text;
+    for (unsigned number = 0; number < connections + 6; ++number)
+        text += read_text("/held/" + std::to_string(number));
+    caller.send(text + order_text);
+    wait_for_held(upstream, connections);
+    wait_for_event(fixture, "request-started-beside", connections + 5);
+    remove_credential(fixture);
+    upstream.release();
+    for (unsigned number = 0; number < connections; ++number)
+        check_body(caller, "/held/" + std::to_string(number));
+    for (unsigned number = 0; number < 7; ++number)
+    {
+        auto const refusal = caller.receive();
+        REQUIRE(refusal);
+        CHECK(refusal->result_int() == 401);
+    }
+    CHECK(upstream.executions() == connections);
+}
