Reserve memory for large responses before their requests run ahead

Cause: a caller that pipelines requests for large responses and reads none took almost all of the memory for responses, because the window of its connection saw them only when they arrived. Responses to other callers then exceeded the budget and ended with 502. Change: a request that starts ahead reserves the size of the largest recent response of its service, unless such responses fit into pipelined_bytes. The window shrinks at once, and the exchange uses the reservation. Before the first response of a service at a worker the size is unknown; the budget alone bounds the requests that run ahead until then.

--- a/kumquatloom/entry/caller_session.cpp
+++ b/kumquatloom/entry/caller_session.cpp
@@ -781,7 +781,8 @@
     std::size_t sum = 0;
     if (ahead_)
         for (auto const& item : ahead_->requests)
-            sum += item->inbound.response_memory.bytes();
+            if (item->is_done)
+                sum += item->inbound.response_memory.bytes();
     return sum;
 }
 
--- a/kumquatloom/entry/inbound_request.hpp
+++ b/kumquatloom/entry/inbound_request.hpp
@@ -52,7 +52,8 @@
     /// Time from the start of the first upstream attempt to the end of the
     /// last.
     core::duration attempt_time{};
-    /// Memory reserved for the response until it has been written.
+    /// Memory reserved for the response until it has been written, for a
+    /// request that runs ahead also before its first attempt.
     memory_budget::reservation response_memory;
     /// Whether the header was rejected for a fault that leaves the end of the
     /// request uncertain. The connection can't be reused then.
--- a/kumquatloom/entry/memory_budget.hpp
+++ b/kumquatloom/entry/memory_budget.hpp
@@ -57,6 +57,15 @@
             return true;
         }
 
+        /// Releases the part above `bytes`.
+        void shrink_to(std::size_t bytes)
+        {
+            if (bytes >= bytes_)
+                return;
+            budget_->used_.fetch_sub(bytes_ - bytes, std::memory_order_relaxed);
+            bytes_ = bytes;
+        }
+
         /// Bytes in this reservation.
         std::size_t bytes() const
         {
--- a/kumquatloom/entry/proxy_handler.cpp
+++ b/kumquatloom/entry/proxy_handler.cpp
@@ -149,10 +149,23 @@
         return start_decision::alone;
     if (queue->waiting() >= max_waiting_before_ahead)
         return start_decision::later;
+    if (!reserve_response(inbound, queue->response_sizes().bytes()))
+        return start_decision::later;
     inbound.admitted = std::move(admitted.value());
     return start_decision::start;
 }
 
+bool proxy_handler::reserve_response(inbound_request& inbound,
+                                     std::size_t expected) const
+{
+    auto const& callers = state_.settings.callers;
+    if (expected <= callers.pipelined_bytes / callers.pipelined_requests)
+        return true;
+    inbound.response_memory =
+        memory_budget::reservation(state_.buffered_answers);
+    return inbound.response_memory.grow_to(expected);
+}
+
 http_response proxy_handler::refuse(refusal_reason reason,
                                     admission::ticket_presence ticket)
 {
--- a/kumquatloom/entry/proxy_handler.hpp
+++ b/kumquatloom/entry/proxy_handler.hpp
@@ -57,6 +57,9 @@
     }
 
 private:
+    /// Reserves the expected size of the response to a request that would start
+    /// ahead. Sizes that the bound of the connection covers need none.
+    bool reserve_response(inbound_request& inbound, std::size_t expected) const;
     asio::awaitable<http_response>
     forward(inbound_request& inbound,
             admission::admitted_request const& admitted);
--- a/kumquatloom/entry/request_execution.cpp
+++ b/kumquatloom/entry/request_execution.cpp
@@ -255,6 +255,7 @@
                                        item.until,
                                        item.cancel,
                                        *item.chosen.object});
+    single_exchange.use(std::move(inbound_.response_memory));
     item.result = co_await single_exchange.run(*pool);
 }
 
@@ -619,6 +620,7 @@
                      attempts_.attempts(),
                      queue_.waiting());
     inbound_.response_memory = std::move(response_->memory);
+    queue_.response_sizes().record(inbound_.response_memory.bytes());
     return caller_response(std::move(response_->response));
 }
 
--- a/kumquatloom/entry/slot_queue.hpp
+++ b/kumquatloom/entry/slot_queue.hpp
@@ -17,6 +17,7 @@
 #include <kumquatloom/limits/shortage_control.hpp>
 #include <kumquatloom/limits/shortage_refusal.hpp>
 #include <kumquatloom/limits/shortage_state.hpp>
+#include <kumquatloom/limits/size_estimate.hpp>
 #include <kumquatloom/request/deadline.hpp>
 #include <kumquatloom/routing/pick.hpp>
 
@@ -115,6 +116,12 @@
         return retries_;
     }
 
+    /// The memory that responses of the service take.
+    limits::size_estimate& response_sizes()
+    {
+        return response_sizes_;
+    }
+
     service_state& service() const
     {
         return *service_;
@@ -193,6 +200,8 @@
     limits::cost_aware_queue<waiter_pointer> cost_aware_;
     /// Decides which cost-aware requests are refused.
     limits::shortage_control control_;
+    /// See response_sizes().
+    limits::size_estimate response_sizes_;
     /// See retries().
     limits::retry_preference retries_;
     /// Whether cost-aware requests are short of room.
--- a/kumquatloom/entry/upstream_exchange.cpp
+++ b/kumquatloom/entry/upstream_exchange.cpp
@@ -253,7 +253,8 @@
     parser.body_limit(body_limit);
     if (task_.inbound.message.method() == http::verb::head)
         parser.skip(true);
-    result_.memory = memory_budget::reservation(state_.buffered_answers);
+    if (result_.memory.bytes() == 0)
+        result_.memory = memory_budget::reservation(state_.buffered_answers);
     auto const reserve = [&]
     {
         return result_.memory.grow_to(
@@ -270,6 +271,7 @@
         connection.stream(), connection.buffer(), parser, body_limit, reserve);
     if (error)
         co_return fail(error);
+    result_.memory.shrink_to(buffered_size(connection.buffer(), parser));
     co_return true;
 }
 
--- a/kumquatloom/entry/upstream_exchange.hpp
+++ b/kumquatloom/entry/upstream_exchange.hpp
@@ -16,6 +16,7 @@
 
 #include <cstddef>
 #include <string>
+#include <utility>
 
 namespace kumquatloom::entry
 {
@@ -50,6 +51,12 @@
     /// Prepares the exchange; run() starts it.
     upstream_exchange(instance_state& state, task const& exchange_task);
 
+    /// Uses memory that was reserved for the response in advance.
+    void use(memory_budget::reservation reserved)
+    {
+        result_.memory = std::move(reserved);
+    }
+
     /// Acquires a connection from the pool and performs the exchange.
     asio::awaitable<exchange_result> run(upstream_pool& pool);
 
--- a/unit_tests/entry/pipelined_failures_test.cpp
+++ b/unit_tests/entry/pipelined_failures_test.cpp
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <string>
 #include <unit_tests/entry/entry_fixture.hpp>
@@ -220,6 +221,45 @@
     CHECK(upstream.executions() == 3);
 }
 
+// Guards against a caller that pipelines requests for large responses, reads
+// none, and so takes the memory for the responses of other callers.
+TEST_CASE("a pipelining caller that reads nothing takes a part of the memory",
+          "[entry][pipelined]")
+{
+    constexpr std::size_t budget = 16 * 1024 * 1024;
+    std::string const body(1024 * 1024, 'x');
+    entry_fixture fixture;
+    fixture.add_upstream(
+        [&](received_request const& request)
+        {
+            return raw_reply{complete_response(request, body)};
+        });
+    fixture.settings.memory.buffered_answers_bytes = budget;
+    fixture.settings.threads = 1;
+    fixture.start();
+    // The size of the responses is known from an earlier one.
+    REQUIRE(fixture.exchange(read_text("/first")));
+    raw_caller slow(fixture.instance().callers_port());
+    constexpr int requests = 40;
+    std::string text;
+    for (int number = 0; number < requests; ++number)
+        text += read_text("/" + std::to_string(number));
+    slow.send(text);
+    wait_for_event(fixture, "request-started-beside", 1);
+    std::uint64_t peak = 0;
+    for (int number = 0; number < 50; ++number)
+    {
+        raw_caller other(fixture.instance().callers_port());
+        other.send(read_text("/other"));
+        check_body(other, body);
+        peak = std::max(peak,
+                        fixture.metric("kumquatloom_buffered_answers_bytes"));
+    }
+    CHECK(peak <= budget / 2);
+    for (int number = 0; number < requests; ++number)
+        check_body(slow, body);
+}
+
 // Guards against a request that runs after its key was removed because it was
 // admitted before it waited for a slot or a connection behind others.
 TEST_CASE("a removed key refuses pipelined requests that wait for an upstream",
