Let connections take turns among cost-aware requests

Cause: the queue of cost-aware requests ordered those of an organisation by slack alone, so that connections with many waiting requests filled its 256 places, and an ordinary request was refused or went behind all of them. Change: pipelined requests of a connection belong to consecutive rounds (limits::round_clock). Ordinary ones belong to the present round and keep their order by slack; a round ends when as many of them were served as waited at its beginning. In a full queue an ordinary request evicts a pipelined one of its organisation and priority, and a pipelined one that of a later round. Measured: the new test holds 400 connections with three requests each beside an ordinary one.

--- a/kumquatloom/entry/slot_queue.cpp
+++ b/kumquatloom/entry/slot_queue.cpp
@@ -153,8 +153,11 @@
         if (chosen.error() != routing::pick_error::no_free_slot)
             co_return core::failure(refusal_reason::no_upstream);
     }
-    auto const ahead = cost_aware_.ahead_of(
-                           request.organisation, request.priority, times, now) +
+    auto const ahead = cost_aware_.ahead_of(request.organisation,
+                                            request.priority,
+                                            times,
+                                            now,
+                                            request.connection) +
                        queue_.items_ahead_of(request.priority);
     if (auto const refusal = control_.on_arrival(
             times, ahead, request.priority, attempts_in_flight(), now))
@@ -169,8 +172,12 @@
     self->give_up_at = times.last;
     self->tried = request.selection.tried;
     self->preference = request.selection.preference;
-    auto pushed = cost_aware_.push(
-        request.organisation, request.priority, times, self, now);
+    auto pushed = cost_aware_.push(request.organisation,
+                                   request.priority,
+                                   times,
+                                   self,
+                                   now,
+                                   request.connection);
     if (!pushed.queued)
         co_return refuse(limits::shortage_refusal::queue_full,
                          request.priority);
--- a/kumquatloom/limits/cost_aware_queue.hpp
+++ b/kumquatloom/limits/cost_aware_queue.hpp
@@ -5,6 +5,7 @@
 #include <kumquatloom/core/ids.hpp>
 #include <kumquatloom/limits/fair_queue.hpp>
 #include <kumquatloom/limits/priority.hpp>
+#include <kumquatloom/limits/round_clock.hpp>
 #include <kumquatloom/limits/start_times.hpp>
 
 #include <boost/assert.hpp>
@@ -23,7 +24,8 @@
 /// Queue of requests whose delay or refusal should cost the callers least. The
 /// most urgent priority is served first. Within a priority, requests that can
 /// still meet their target go before late ones, organisations take turns, and
-/// the request with the least slack goes first; slack shrinks with age. Late
+/// the request with the least slack goes first; slack shrinks with age. Of a
+/// connection that pipelines, one request takes part in each round. Late
 /// requests go by their chance to meet the time limit. When the queue is full,
 /// the request whose refusal costs least is evicted. Items are compared with
 /// `==`. Operations are linear in the number of items, which is bounded. Not
@@ -40,20 +42,25 @@
     }
 
     /// Queues an item, evicting another one if the queue is full and the
-    /// refusal of that one costs less.
+    /// refusal of that one costs less. `connection` is that of a pipelined
+    /// request and null otherwise.
     push_result<Item> push(core::organisation_name const& organisation,
                            priority level,
                            start_times times,
                            Item item,
-                           core::time_point now)
+                           core::time_point now,
+                           connection_turn* connection = nullptr)
     {
         push_result<Item> result;
         auto& turns = turns_[index(level)];
+        auto const turn = rounds_[index(level)].assign(connection);
         if (entries_.size() >= max_items_)
         {
             auto const own = turns.queued_of(organisation);
-            auto const victim = cheapest_refusal(now);
+            auto victim = cheapest_refusal(now);
             if (!costs_less(*victim, level, times, own, now))
+                victim = later_turn(turns.find(organisation), level, turn, now);
+            if (victim == entries_.end())
                 return result;
             result.evicted = std::move(victim->item);
             remove(victim);
@@ -62,7 +69,8 @@
                             level,
                             times,
                             turns.add(organisation),
-                            next_number_++});
+                            next_number_++,
+                            turn});
         result.queued = true;
         return result;
     }
@@ -95,8 +103,14 @@
         auto const found = find(item);
         if (found == entries_.end())
             return;
-        turns_[index(found->level)].take(*found->organisation);
+        auto const level = found->level;
+        auto const turn = found->turn;
+        turns_[index(level)].take(*found->organisation);
         remove(found);
+        rounds_[index(level)].serve(turn, ordinary_items(level));
+        if (entries_.empty())
+            for (auto& rounds : rounds_)
+                rounds.restart();
     }
 
     /// Removes an item that is no longer waiting, if it is queued.
@@ -138,8 +152,11 @@
     std::size_t ahead_of(core::organisation_name const& organisation,
                          priority level,
                          start_times const& times,
-                         core::time_point now) const
+                         core::time_point now,
+                         connection_turn const* connection = nullptr) const
     {
+        auto const& rounds = rounds_[index(level)];
+        auto const round = rounds.round_of(rounds.next(connection));
         auto const own = turns_[index(level)].find(organisation);
         std::size_t urgent = 0;
         std::size_t same_class = 0;
@@ -152,9 +169,13 @@
             bool const item_is_late = now > item.times.on_time;
             if (item.level < level || (is_late && !item_is_late))
                 ++urgent;
-            else if (item_is_late == is_late && item.organisation == own &&
-                     is_sooner(item.times, times, now))
-                ++own_ahead;
+            else if (item_is_late == is_late && item.organisation == own)
+            {
+                auto const item_round = round_of(item);
+                if (item_round < round ||
+                    (item_round == round && is_sooner(item.times, times, now)))
+                    ++own_ahead;
+            }
             else if (item_is_late == is_late)
                 ++same_class;
         }
@@ -173,7 +194,7 @@
     {
         std::sort(entries_.begin(),
                   entries_.end(),
-                  [now](entry const& left, entry const& right)
+                  [this, now](entry const& left, entry const& right)
                   {
                       return precedes(left, right, now);
                   });
@@ -289,6 +310,8 @@
         turn_state* organisation;
         /// Order of arrival.
         std::size_t number;
+        /// Its turn; zero unless it is pipelined.
+        turn_number turn;
     };
 
     using iterator = typename std::vector<entry>::iterator;
@@ -312,9 +335,25 @@
                                              : left.last <= right.last;
     }
 
+    turn_number round_of(entry const& item) const
+    {
+        return rounds_[index(item.level)].round_of(item.turn);
+    }
+
+    std::size_t ordinary_items(priority level) const
+    {
+        return static_cast<std::size_t>(
+            std::count_if(entries_.begin(),
+                          entries_.end(),
+                          [level](entry const& item)
+                          {
+                              return item.level == level && item.turn == 0;
+                          }));
+    }
+
     /// The order without the turns of organisations.
-    static bool
-    precedes(entry const& left, entry const& right, core::time_point now)
+    bool
+    precedes(entry const& left, entry const& right, core::time_point now) const
     {
         if (left.level != right.level)
             return left.level < right.level;
@@ -322,6 +361,8 @@
         bool const right_is_late = now > right.times.on_time;
         if (left_is_late != right_is_late)
             return right_is_late;
+        if (round_of(left) != round_of(right))
+            return round_of(left) < round_of(right);
         bool const left_is_sooner = is_sooner(left.times, right.times, now);
         bool const right_is_sooner = is_sooner(right.times, left.times, now);
         return left_is_sooner != right_is_sooner ? left_is_sooner
@@ -329,8 +370,9 @@
     }
 
     /// The order in which items are served.
-    static bool
-    goes_before(entry const& left, entry const& right, core::time_point now)
+    bool goes_before(entry const& left,
+                     entry const& right,
+                     core::time_point now) const
     {
         bool const same_class =
             left.level == right.level &&
@@ -347,7 +389,7 @@
         return std::max_element(
             entries_.begin(),
             entries_.end(),
-            [now](entry const& left, entry const& right)
+            [this, now](entry const& left, entry const& right)
             {
                 if (left.level != right.level)
                     return left.level < right.level;
@@ -381,6 +423,24 @@
         return victim.organisation->queued >= own + 2;
     }
 
+    /// The item of an organisation that is refused for a new one of it: the
+    /// last one of a later round or, if the new one isn't pipelined, the last
+    /// pipelined one. The end if there is none.
+    iterator later_turn(turn_state const* organisation,
+                        priority level,
+                        turn_number turn,
+                        core::time_point now)
+    {
+        auto const round = rounds_[index(level)].round_of(turn);
+        auto result = entries_.end();
+        for (auto item = entries_.begin(); item != entries_.end(); ++item)
+            if (item->level == level && item->organisation == organisation &&
+                item->turn != 0 && (turn == 0 || round_of(*item) > round) &&
+                (result == entries_.end() || precedes(*result, *item, now)))
+                result = item;
+        return result;
+    }
+
     /// Upper bound of the items of its priority that are served before the item
     /// at a position, by the turns of organisations.
     std::size_t turns_ahead(std::size_t position) const
@@ -430,6 +490,8 @@
     std::size_t max_items_;
     std::vector<entry> entries_;
     std::array<turn_table, levels> turns_;
+    /// Rounds of the connections that pipeline, by priority.
+    std::array<round_clock, levels> rounds_;
     std::size_t next_number_ = 0;
 };
 
--- a/unit_tests/limits/cost_aware_queue_test.cpp
+++ b/unit_tests/limits/cost_aware_queue_test.cpp
@@ -191,6 +191,107 @@
     CHECK(drain(queue, start) == names{"0", "1", "2", "3"});
 }
 
+// Guards against connections with many requests each that displace an ordinary
+// caller or fill the queue, and against pipelined requests that starve.
+TEST_CASE("connections take turns among cost-aware requests",
+          "[limits][shortage][pipelined]")
+{
+    constexpr std::size_t connections = 400;
+    constexpr std::size_t own_bound = 256;
+    std::vector<connection_turn> turns(connections);
+    queue_type queue(own_bound);
+    std::size_t served_pipelined = 0;
+    std::size_t evicted = 0;
+    auto now = start;
+    auto const due = [&](core::duration target)
+    {
+        return start_times_of(
+            now + target, now + target + 1h, {100ms, 100ms, 100ms});
+    };
+    // The connections send three requests each in turn.
+    std::size_t sent = 0;
+    auto const push_crowd = [&](std::size_t requests)
+    {
+        for (auto const end = sent + requests; sent < end; ++sent)
+            queue.push(shop,
+                       priority::normal,
+                       due(1h),
+                       "crowd " + std::to_string(sent),
+                       now,
+                       &turns[sent / 3 % connections]);
+    };
+    push_crowd(3 * connections);
+    REQUIRE(queue.size() == own_bound);
+
+    SECTION("an ordinary request is queued and waits for a round at most")
+    {
+        for (int number = 0; number < 20; ++number)
+        {
+            now += 10ms;
+            REQUIRE(queue.push(shop, priority::normal, due(1h), "ordinary", now)
+                        .queued);
+            std::size_t ahead = 0;
+            while (*queue.best(now) != "ordinary")
+            {
+                queue.serve(std::string(*queue.best(now)));
+                push_crowd(6);
+                ++ahead;
+            }
+            queue.serve("ordinary");
+            CHECK(ahead <= connections);
+            served_pipelined += ahead;
+        }
+        CHECK(served_pipelined > 0);
+    }
+
+    SECTION("ordinary requests evict the pipelined ones and keep their order")
+    {
+        for (std::size_t number = 0; number < own_bound; ++number)
+        {
+            auto const pushed =
+                queue.push(shop,
+                           priority::normal,
+                           due(1h - std::chrono::minutes(number % 2)),
+                           (number % 2 == 0 ? "relaxed " : "tight ") +
+                               std::to_string(number),
+                           now);
+            if (pushed.evicted && pushed.evicted->starts_with("crowd"))
+                ++evicted;
+        }
+        CHECK(evicted == own_bound);
+        CHECK_FALSE(
+            queue.push(shop, priority::normal, due(1h), "more", now).queued);
+        CHECK(queue.best(now)->starts_with("tight"));
+        CHECK_FALSE(queue
+                        .push(shop,
+                              priority::normal,
+                              due(1h),
+                              "crowd",
+                              now,
+                              &turns.front())
+                        .queued);
+    }
+
+    SECTION("one connection doesn't overtake another one by its age")
+    {
+        queue_type other(own_bound);
+        connection_turn first;
+        connection_turn second;
+        for (int number = 0; number < 3; ++number)
+            other.push(shop,
+                       priority::normal,
+                       due(1h),
+                       "a" + std::to_string(number),
+                       now,
+                       &first);
+        now += 10ms;
+        other.push(shop, priority::normal, due(1h), "b", now, &second);
+        other.push(shop, priority::normal, due(1h), "c", now);
+        CHECK(other.ahead_of(shop, priority::normal, due(1h), now) == 1);
+        CHECK(drain(other, now) == names{"c", "a0", "b", "a1", "a2"});
+    }
+}
+
 // Guards against requests that are lost or served twice, and against unbounded
 // state.
 TEST_CASE("the cost-aware queue loses nothing", "[limits][shortage]")
@@ -200,6 +301,7 @@
         []
         {
             cost_aware_queue<int> queue(8);
+            std::vector<connection_turn> connections(2);
             std::vector<int> queued;
             auto now = start;
             int number = 0;
@@ -220,11 +322,16 @@
                         now + std::chrono::milliseconds(step),
                         now + std::chrono::milliseconds(2 * step),
                         {1ms, 5ms, 10ms});
-                    auto const ahead =
-                        queue.ahead_of(organisation, level, times, now);
+                    auto* const connection =
+                        step % 2 == 0
+                            ? nullptr
+                            : &connections[static_cast<std::size_t>(step % 4) /
+                                           2];
+                    auto const ahead = queue.ahead_of(
+                        organisation, level, times, now, connection);
                     RC_ASSERT(ahead <= queue.size());
-                    auto const pushed =
-                        queue.push(organisation, level, times, ++number, now);
+                    auto const pushed = queue.push(
+                        organisation, level, times, ++number, now, connection);
                     if (pushed.queued)
                         queued.push_back(number);
                     if (pushed.evicted)
