--- a/kumquatloom/entry/proxy_handler.hpp
+++ b/kumquatloom/entry/proxy_handler.hpp
@@ -59,6 +59,10 @@
 private:
     /// Counts a request that is refused before it is queued.
     void record_unserved(admission::admitted_request const& admitted);
+
+    /// Reserves the expected size of the response to a request that would start
+    /// ahead. Sizes that the bound of the connection covers need none.
+    bool reserve_response(inbound_request& inbound, std::size_t expected) const;
     asio::awaitable<http_response>
     forward(inbound_request& inbound,
             admission::admitted_request const& admitted);
--- a/kumquatloom/entry/request_execution.cpp
+++ b/kumquatloom/entry/request_execution.cpp
@@ -251,13 +251,13 @@
     }
     upstream_exchange single_exchange(resources_.state,
                                       {inbound_,
-                                       admitted_.table->access(),
-                                       admitted_.organisation,
+                                       admitted_,
                                        attempts_,
                                        item.number,
                                        item.until,
                                        item.cancel,
                                        *item.chosen.object});
+    single_exchange.use(std::move(inbound_.response_memory));
     item.result = co_await single_exchange.run(*pool);
 }
 
@@ -631,6 +631,7 @@
                      attempts_.attempts(),
                      queue_.waiting());
     inbound_.response_memory = std::move(response_->memory);
+    queue_.response_sizes().record(inbound_.response_memory.bytes());
     return caller_response(std::move(response_->response));
 }
 
