Close slow readers first and let messages wait for memory

Cause: memory_gain() covered responses that are being written, but nothing called it when the memory for responses was short, and the bytes they hold were not filled in. Two callers that did not read their responses of 8 MiB made the response to an ordinary caller fail with 502. A large upload that came a moment before an earlier one was answered got 503 at once.

Change: message_memory reserves memory for requests and responses of one worker. When it is short, connections without progress are ended, now also those whose caller does not read; progress is what the caller has acknowledged (SIOCOUTQ). Then a request with a stated length, and any response, waits in order of arrival for at most limits.memoryWaitMs (1,000 ms); a request also for at most headerTimeoutS and an eighth of its deadline, and only if it would be admitted.

transfer_progress::record() no longer takes a smaller total than before for progress.

--- a/kumquatloom/entry/caller_connections.cpp
+++ b/kumquatloom/entry/caller_connections.cpp
@@ -35,7 +35,7 @@
     auto const settings = shedding_settings_of(state_);
     auto const now = core::clock::now();
     auto* const session = best(
-        [&](caller_session const& candidate)
+        [&](caller_session& candidate)
         {
             return limits::connection_gain(candidate.activity(), now, settings);
         });
@@ -46,21 +46,29 @@
     return true;
 }
 
-bool caller_connections::free_memory(caller_session const& requester)
+bool caller_connections::free_memory(limits::message_kind kind,
+                                     caller_session const* requester)
 {
     auto const settings = shedding_settings_of(state_);
     auto const now = core::clock::now();
     auto* const session = best(
-        [&](caller_session const& candidate)
+        [&](caller_session& candidate)
         {
-            return limits::memory_gain(candidate.activity(), now, settings);
+            return limits::memory_gain(
+                candidate.activity(), kind, now, settings);
         });
-    if (session == nullptr || session == &requester)
+    if (session == nullptr || session == requester)
         return false;
-    state_.events.increment(entry_event::caller_shed);
-    core::log_info("caller_shed",
-                   {{"held_bytes", session->activity().held_bytes},
-                    {"buffered_bytes", state_.buffered_requests.used()}});
+    auto const& activity = session->activity();
+    bool const is_reading = activity.phase == limits::connection_phase::reading;
+    state_.events.increment(is_reading ? entry_event::caller_shed
+                                       : entry_event::reader_shed);
+    core::log_info(
+        is_reading ? "caller_shed" : "reader_shed",
+        {{"held_bytes", activity.request_bytes},
+         {"held_response_bytes", activity.response_bytes},
+         {"buffered_bytes", state_.buffered_requests.used()},
+         {"buffered_response_bytes", state_.buffered_answers.used()}});
     session->refuse_for_memory();
     return true;
 }
--- a/kumquatloom/entry/caller_connections.hpp
+++ b/kumquatloom/entry/caller_connections.hpp
@@ -37,9 +37,11 @@
     /// may be closed.
     bool close_one();
 
-    /// Refuses the request of a connection to free memory for `requester`;
-    /// false if none may be refused, or if it would be the requester itself.
-    bool free_memory(caller_session const& requester);
+    /// Refuses the request or ends the response of a connection to free memory
+    /// for another message of this kind; false if none may be ended, or if it
+    /// would be that of `requester`, which may be null.
+    bool free_memory(limits::message_kind kind,
+                     caller_session const* requester);
 
     /// Calls a function with each connection.
     template <typename Function>
--- a/kumquatloom/entry/caller_listener.cpp
+++ b/kumquatloom/entry/caller_listener.cpp
@@ -1,6 +1,7 @@
 #include <kumquatloom/core/logging.hpp>
 #include <kumquatloom/entry/caller_listener.hpp>
 #include <kumquatloom/entry/instance_state.hpp>
+#include <kumquatloom/entry/proxy_handler.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -35,7 +36,9 @@
     , acceptor_(context)
     , pause_(context)
     , connections_(state)
+    , memory_(state, connections_)
 {
+    handler_.connect(memory_);
     acceptor_.open(address.protocol());
     acceptor_.set_option(tcp::acceptor::reuse_address(true));
     acceptor_.set_option(reuse_port(true));
@@ -78,7 +81,7 @@
     state_.events.increment(entry_event::caller_accepted);
     boost::intrusive_ptr<caller_session> const session(
         new caller_session(std::move(socket), state_, handler_));
-    session->join(connections_, std::move(memory));
+    session->join(memory_, std::move(memory));
     connections_.add(*session);
     asio::co_spawn(context_, caller_session::run(session), asio::detached);
 }
--- a/kumquatloom/entry/caller_listener.hpp
+++ b/kumquatloom/entry/caller_listener.hpp
@@ -4,6 +4,7 @@
 #include <kumquatloom/entry/caller_connections.hpp>
 #include <kumquatloom/entry/caller_session.hpp>
 #include <kumquatloom/entry/http_types.hpp>
+#include <kumquatloom/entry/message_memory.hpp>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -60,6 +61,8 @@
     asio::steady_timer pause_;
     /// The open connections.
     caller_connections connections_;
+    /// Memory of the worker's messages.
+    message_memory memory_;
     /// Whether the connections were scarce at the last accepted one.
     bool scarce_ = false;
 };
--- a/kumquatloom/entry/caller_session.cpp
+++ b/kumquatloom/entry/caller_session.cpp
@@ -1,15 +1,14 @@
 #include <kumquatloom/core/logging.hpp>
 #include <kumquatloom/entry/buffered_size.hpp>
-#include <kumquatloom/entry/caller_connections.hpp>
 #include <kumquatloom/entry/caller_session.hpp>
 #include <kumquatloom/entry/folded_line.hpp>
 #include <kumquatloom/entry/header_views.hpp>
 #include <kumquatloom/entry/inbound_request.hpp>
 #include <kumquatloom/entry/instance_state.hpp>
+#include <kumquatloom/entry/message_memory.hpp>
 #include <kumquatloom/entry/proxy_handler.hpp>
 #include <kumquatloom/entry/read_ahead_state.hpp>
 #include <kumquatloom/limits/pipeline_window.hpp>
-#include <kumquatloom/limits/transfer_progress.hpp>
 #include <kumquatloom/log_service/read_message.hpp>
 
 #include <boost/asio/buffer.hpp>
@@ -19,16 +18,20 @@
 #include <boost/beast/core/error.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/read.hpp>
+#include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/write.hpp>
 #include <boost/system/errc.hpp>
 
+#include <algorithm>
 #include <array>
 #include <chrono>
 #include <cstdint>
 #include <exception>
 #include <functional>
+#include <linux/sockios.h>
 #include <optional>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <utility>
 
 namespace kumquatloom::entry
@@ -80,6 +83,22 @@
                : request::idempotency::not_idempotent;
 }
 
+/// Bytes that a transfer at this rate moves in a time.
+std::size_t bytes_in(core::duration time, std::size_t bytes_per_s)
+{
+    return static_cast<std::size_t>(
+        static_cast<double>(bytes_per_s) *
+        std::chrono::duration<double>(time).count());
+}
+
+/// Written bytes that the other side has not acknowledged.
+std::size_t unacknowledged_bytes(tcp::socket& socket)
+{
+    int bytes = 0;
+    bool const known = ::ioctl(socket.native_handle(), SIOCOUTQ, &bytes) == 0;
+    return known ? static_cast<std::size_t>(bytes) : 0;
+}
+
 std::optional<std::uint64_t>
 content_length(http::request_parser<http::string_body> const& parser)
 {
@@ -177,6 +196,7 @@
 
 void caller_session::abort()
 {
+    closed_.request();
     error_code ignored;
     stream_.socket().close(ignored);
 }
@@ -192,6 +212,8 @@
 void caller_session::refuse_for_memory()
 {
     memory_ = memory_budget::reservation();
+    if (answered_ != nullptr)
+        answered_->response_memory = memory_budget::reservation();
     bool const is_reading =
         activity_.phase == limits::connection_phase::reading;
     enter(limits::connection_phase::executing);
@@ -206,7 +228,15 @@
 {
     activity_.phase = phase;
     activity_.progressed_at = core::clock::now();
-    activity_.held_bytes = 0;
+    activity_.request_bytes = 0;
+    activity_.response_bytes = 0;
+}
+
+limits::connection_activity const& caller_session::activity()
+{
+    if (write_progress_)
+        record_written();
+    return activity_;
 }
 
 asio::awaitable<bool> caller_session::serve_request()
@@ -306,11 +336,15 @@
     };
     parser.on_chunk_header(bound_extensions);
     auto error = co_await read_header(parser);
-    auto const seconds = std::chrono::duration<double>(bounds.header_timeout);
+    // A stated length is reserved before the body is read, so that a request
+    // that has begun is not refused later.
+    bool reserved = false;
+    if (!error)
+        reserved = co_await reserve_body(parser);
+    if (!error && !reserved)
+        error = make_error_code(boost::system::errc::not_enough_memory);
     limits::transfer_progress progress(
-        static_cast<std::size_t>(
-            static_cast<double>(state_.settings.callers.min_body_rate) *
-            seconds.count()),
+        bytes_in(bounds.header_timeout, state_.settings.callers.min_body_rate),
         bounds.header_timeout,
         core::clock::now());
     // Called before each read of the body.
@@ -321,12 +355,9 @@
         stream_.expires_at(progress.deadline());
         return reserve_memory(parser);
     };
-    // A stated length is reserved before the body is read, so that a request
-    // that has begun is not refused later.
-    if (!error && !reserve())
-        error = make_error_code(boost::system::errc::not_enough_memory);
     if (!error)
     {
+        stream_.expires_at(progress.deadline());
         bool const connected = co_await send_continue(parser);
         if (!connected)
             co_return false;
@@ -395,15 +426,53 @@
     if (is_shed_)
         return false;
     auto const bytes = buffered_size(buffer_, parser);
-    activity_.held_bytes = bytes;
-    bool reserved = memory_.grow_to(bytes);
-    while (!reserved && connections_ != nullptr &&
-           state_.buffered_requests.can_hold(bytes) &&
-           connections_->free_memory(*this))
-        reserved = memory_.grow_to(bytes);
+    bool const reserved =
+        messages_ == nullptr
+            ? memory_.grow_to(bytes)
+            : messages_->reserve(message_memory::request, memory_, bytes, this);
+    activity_.request_bytes = memory_.bytes();
     return reserved;
 }
 
+asio::awaitable<bool> caller_session::reserve_body(parser_type const& parser)
+{
+    bool reserved = reserve_memory(parser);
+    // A body of unknown size would hold its first part while it waits for
+    // memory for the rest.
+    if (reserved || is_shed_ || messages_ == nullptr ||
+        !parser.content_length())
+        co_return reserved;
+    // The caller is not to blame for this wait.
+    activity_.request_bytes = 0;
+    reserved = co_await messages_->wait(message_memory::request,
+                                        memory_,
+                                        buffered_size(buffer_, parser),
+                                        memory_wait_end(parser),
+                                        closed_);
+    activity_.progressed_at = core::clock::now();
+    activity_.request_bytes = memory_.bytes();
+    co_return reserved;
+}
+
+core::time_point
+caller_session::memory_wait_end(parser_type const& parser) const
+{
+    auto const now = core::clock::now();
+    // Much less than the time that the caller has, of which the request and
+    // another attempt after a refusal need their parts.
+    constexpr int deadline_divisor = 8;
+    inbound_request const header(
+        http_request(parser.get().base()), content_length(parser), now);
+    auto const admitted = state_.gate.decide(header.header(), now, 0);
+    if (!admitted)
+        return now;
+    return now +
+           std::min<core::duration>(
+               {state_.settings.callers.memory_wait,
+                limits().header_timeout,
+                admitted.value().deadline.remaining(now) / deadline_divisor});
+}
+
 document::caller_limits caller_session::limits() const
 {
     auto const document = state_.document.read();
@@ -474,8 +543,8 @@
         response.body().clear();
     // After a request with ambiguous framing the start of the next request is
     // unknown.
-    bool const keep_open =
-        co_await write(response, keep_alive && !current.has_ambiguous_framing);
+    bool const keep_open = co_await write_answer(
+        current, response, keep_alive && !current.has_ambiguous_framing);
     auto const total = core::clock::now() - current.received_at;
     state_.request_latency.record(total);
     // The wait of a pipelined response for earlier ones is not the proxy's.
@@ -485,6 +554,36 @@
     co_return keep_open;
 }
 
+asio::awaitable<bool> caller_session::write_answer(inbound_request& current,
+                                                   http_response& response,
+                                                   bool keep_alive)
+{
+    enter(limits::connection_phase::writing);
+    activity_.request_bytes = memory_.bytes();
+    activity_.response_bytes = current.response_memory.bytes();
+    answered_ = &current;
+    // A caller that reads at the minimum rate progresses in each part of the
+    // time after which a connection without progress may be closed.
+    auto const step_time = limits::shedding_settings().min_stall;
+    write_progress_.emplace(
+        bytes_in(step_time, state_.settings.callers.min_body_rate),
+        step_time,
+        activity_.progressed_at);
+    bool const keep_open = co_await write(response, keep_alive);
+    write_progress_.reset();
+    answered_ = nullptr;
+    co_return keep_open;
+}
+
+void caller_session::record_written()
+{
+    // Bytes of an earlier response may still be unacknowledged.
+    auto const pending = unacknowledged_bytes(stream_.socket());
+    write_progress_->record(written_bytes_ - std::min(written_bytes_, pending),
+                            core::clock::now());
+    activity_.progressed_at = write_progress_->progressed_at();
+}
+
 asio::awaitable<bool> caller_session::write(http_response& response,
                                             bool keep_alive)
 {
@@ -496,9 +595,19 @@
         keep_alive && (pipeline_.started() > 1 || !is_closing);
     response.keep_alive(keep_open);
     stream_.expires_after(limits().idle_timeout);
-    auto const [error, size] =
-        co_await http::async_write(stream_, response, as_result);
-    co_return !error && keep_open;
+    http::response_serializer<http::string_body> serializer(response);
+    error_code failure;
+    written_bytes_ = 0;
+    while (!failure && !serializer.is_done())
+    {
+        auto const [error, size] =
+            co_await http::async_write_some(stream_, serializer, as_result);
+        failure = error;
+        written_bytes_ += size;
+        if (write_progress_)
+            record_written();
+    }
+    co_return !failure && keep_open;
 }
 
 asio::awaitable<void> caller_session::refuse(error_code error,
--- a/kumquatloom/entry/caller_session.hpp
+++ b/kumquatloom/entry/caller_session.hpp
@@ -3,10 +3,12 @@
 
 #include <kumquatloom/core/clock.hpp>
 #include <kumquatloom/document/document.hpp>
+#include <kumquatloom/entry/cancellation.hpp>
 #include <kumquatloom/entry/http_types.hpp>
 #include <kumquatloom/entry/memory_budget.hpp>
 #include <kumquatloom/limits/connection_shedding.hpp>
 #include <kumquatloom/limits/connection_turn.hpp>
+#include <kumquatloom/limits/transfer_progress.hpp>
 #include <kumquatloom/log_service/receive_buffer.hpp>
 #include <kumquatloom/request/pipeline_state.hpp>
 
@@ -19,6 +21,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <utility>
 
 namespace kumquatloom::entry
@@ -26,7 +29,7 @@
 
 struct instance_state;
 struct read_ahead_state;
-class caller_connections;
+class message_memory;
 class proxy_handler;
 class inbound_request;
 class pipelined_request;
@@ -50,12 +53,12 @@
                    proxy_handler& handler);
     ~caller_session();
 
-    /// Lets the connection free memory of `connections` when it is short, and
+    /// Lets the connection reserve memory for requests with `messages`, and
     /// gives it the memory reserved for itself.
-    void join(caller_connections& connections,
+    void join(message_memory& messages,
               memory_budget::reservation connection_memory)
     {
-        connections_ = &connections;
+        messages_ = &messages;
         connection_memory_ = std::move(connection_memory);
     }
 
@@ -76,10 +79,7 @@
 
     /// What the connection does, for the choice of those that are closed when
     /// room is short.
-    limits::connection_activity const& activity() const
-    {
-        return activity_;
-    }
+    limits::connection_activity const& activity();
 
     /// Closes the connection, whose request has not been read completely, to
     /// make room for another one.
@@ -103,11 +103,17 @@
     error_code parse_header(parser_type& parser);
     void enter(limits::connection_phase phase);
     bool reserve_memory(parser_type const& parser);
+    asio::awaitable<bool> reserve_body(parser_type const& parser);
+    core::time_point memory_wait_end(parser_type const& parser) const;
     asio::awaitable<bool> send_continue(parser_type& parser);
     asio::awaitable<bool> respond(inbound_request& current,
                                   bool keep_alive,
                                   pipelined_request* ahead);
     asio::awaitable<bool> write(http_response& response, bool keep_alive);
+    asio::awaitable<bool> write_answer(inbound_request& current,
+                                       http_response& response,
+                                       bool keep_alive);
+    void record_written();
     asio::awaitable<void> refuse(error_code error, parser_type const& parser);
     asio::awaitable<void> close();
     document::caller_limits limits() const;
@@ -142,13 +148,22 @@
     instance_state& state_;
     /// Handles the requests.
     proxy_handler& handler_;
-    /// Frees memory when it is short; null if nothing does.
-    caller_connections* connections_ = nullptr;
+    /// Reserves memory and frees that of others when it is short; null if
+    /// nothing does.
+    message_memory* messages_ = nullptr;
     /// Memory reserved for the connection itself.
     memory_budget::reservation connection_memory_;
     limits::connection_activity activity_;
     /// Whether the request is refused because its memory is needed.
     bool is_shed_ = false;
+    /// Ends a wait for memory when the connection is closed.
+    cancellation closed_;
+    /// The request whose response is written; null if there is none.
+    inbound_request* answered_ = nullptr;
+    /// Bytes of the current response that the kernel has accepted, and the rate
+    /// at which the caller takes them.
+    std::size_t written_bytes_ = 0;
+    std::optional<limits::transfer_progress> write_progress_;
     /// Memory reserved for the request until its response has been written.
     memory_budget::reservation memory_;
     /// The request that this session's coroutine executes; null if there is
--- a/kumquatloom/entry/entry_event.cpp
+++ b/kumquatloom/entry/entry_event.cpp
@@ -19,6 +19,12 @@
         return "caller-displaced";
     case entry_event::caller_shed:
         return "caller-shed";
+    case entry_event::reader_shed:
+        return "reader-shed";
+    case entry_event::request_waited:
+        return "request-waited";
+    case entry_event::response_waited:
+        return "response-waited";
     case entry_event::request_received:
         return "request-received";
     case entry_event::request_read_ahead:
--- a/kumquatloom/entry/entry_event.hpp
+++ b/kumquatloom/entry/entry_event.hpp
@@ -18,6 +18,12 @@
     /// A request was refused while it was read, to free its memory for another
     /// one.
     caller_shed,
+    /// A connection was closed while its response was written, to free the
+    /// memory for another response.
+    reader_shed,
+    /// A request, or a response of an upstream, waited for memory.
+    request_waited,
+    response_waited,
     request_received,
     /// A request was read before an earlier one of its connection was answered.
     request_read_ahead,
--- a/kumquatloom/entry/memory_budget.hpp
+++ b/kumquatloom/entry/memory_budget.hpp
@@ -81,6 +81,12 @@
         return used_.load(std::memory_order_relaxed);
     }
 
+    /// Whether a reservation of this size is small.
+    static bool is_small(std::size_t bytes)
+    {
+        return bytes <= small_bytes;
+    }
+
     /// Whether the limit allows a reservation of this size when there is no
     /// other.
     bool can_hold(std::size_t bytes) const
@@ -103,7 +109,7 @@
     /// The part of the limit that a reservation of this size may use.
     std::size_t available_for(std::size_t bytes) const
     {
-        return limit_ - (bytes > small_bytes ? limit_ / reserve_divisor : 0);
+        return limit_ - (is_small(bytes) ? 0 : limit_ / reserve_divisor);
     }
 
     /// Grows a reservation of `from` bytes to `to` bytes.
--- a/kumquatloom/entry/proxy_handler.hpp
+++ b/kumquatloom/entry/proxy_handler.hpp
@@ -29,6 +29,13 @@
                   instance_state& state,
                   std::size_t connection_limit);
 
+    /// Lets responses wait for memory, and free that of slow readers, when it
+    /// is short. The memory must outlive the requests.
+    void connect(message_memory& memory)
+    {
+        resources_.memory = &memory;
+    }
+
     /// Handles one request and returns the complete response.
     asio::awaitable<http_response> handle(inbound_request& inbound);
 
--- a/kumquatloom/entry/request_execution.cpp
+++ b/kumquatloom/entry/request_execution.cpp
@@ -255,7 +255,8 @@
                                        item.number,
                                        item.until,
                                        item.cancel,
-                                       *item.chosen.object});
+                                       *item.chosen.object,
+                                       resources_.memory});
     item.result = co_await single_exchange.run(*pool);
 }
 
--- a/kumquatloom/entry/upstream_exchange.cpp
+++ b/kumquatloom/entry/upstream_exchange.cpp
@@ -6,6 +6,7 @@
 #include <kumquatloom/entry/inbound_request.hpp>
 #include <kumquatloom/entry/instance_state.hpp>
 #include <kumquatloom/entry/keep_alive_timeout.hpp>
+#include <kumquatloom/entry/message_memory.hpp>
 #include <kumquatloom/entry/request_logger.hpp>
 #include <kumquatloom/entry/upstream_exchange.hpp>
 #include <kumquatloom/entry/upstream_status.hpp>
@@ -136,7 +137,7 @@
     {
         parser_type parser;
         bool const complete = co_await read(connection, parser);
-        result_.latency = core::clock::now() - sent_at_;
+        result_.latency = core::clock::now() - sent_at_ - memory_wait_;
         if (!complete)
             co_return;
         // The response belongs to an earlier request or is an interim one; the
@@ -249,25 +250,61 @@
     if (task_.inbound.message.method() == http::verb::head)
         parser.skip(true);
     result_.memory = memory_budget::reservation(state_.buffered_answers);
-    auto const reserve = [&]
+    auto const size = [&]
     {
-        return result_.memory.grow_to(
-            buffered_size(connection.buffer(), parser));
+        return buffered_size(connection.buffer(), parser);
+    };
+    auto const accept = [&]
+    {
+        return reserve(size());
+    };
+    auto const wait = [&]
+    {
+        return wait_for_memory(size());
     };
     auto error = co_await log_service::read_header(
-        connection.stream(), connection.buffer(), parser, reserve);
+        connection.stream(), connection.buffer(), parser, accept, wait);
     if (error)
         co_return fail(error);
     apply_status(parser.get());
-    if (!reserve())
+    // A stated length is reserved before the body is read.
+    bool reserved = accept();
+    if (!reserved)
+        reserved = co_await wait();
+    if (!reserved)
         co_return fail(exchange_status::answer_too_large);
-    error = co_await log_service::read_body(
-        connection.stream(), connection.buffer(), parser, body_limit, reserve);
+    error = co_await log_service::read_body(connection.stream(),
+                                            connection.buffer(),
+                                            parser,
+                                            body_limit,
+                                            accept,
+                                            wait);
     if (error)
         co_return fail(error);
     co_return true;
 }
 
+bool upstream_exchange::reserve(std::size_t bytes)
+{
+    return task_.memory == nullptr
+               ? result_.memory.grow_to(bytes)
+               : task_.memory->reserve(
+                     message_memory::response, result_.memory, bytes);
+}
+
+asio::awaitable<bool> upstream_exchange::wait_for_memory(std::size_t bytes)
+{
+    if (task_.memory == nullptr)
+        co_return false;
+    auto const began = core::clock::now();
+    auto const until = std::min<core::time_point>(
+        task_.until.at(), began + state_.settings.callers.memory_wait);
+    bool const reserved = co_await task_.memory->wait(
+        message_memory::response, result_.memory, bytes, until, task_.cancel);
+    memory_wait_ += core::clock::now() - began;
+    co_return reserved;
+}
+
 bool upstream_exchange::verify_response(parser_type& parser)
 {
     if (task_.until.passed(core::clock::now()))
--- a/kumquatloom/entry/upstream_exchange.hpp
+++ b/kumquatloom/entry/upstream_exchange.hpp
@@ -21,6 +21,7 @@
 {
 
 class inbound_request;
+class message_memory;
 struct instance_state;
 
 /// Sends one request to one upstream, and reads and verifies the complete
@@ -47,6 +48,8 @@
         cancellation& cancel;
         /// The upstream.
         routing::upstream& target;
+        /// Reserves memory for the response; null if nothing frees any.
+        message_memory* memory = nullptr;
     };
 
     /// Prepares the exchange; run() starts it.
@@ -62,6 +65,8 @@
     asio::awaitable<bool> write(upstream_connection& connection);
     asio::awaitable<bool> read(upstream_connection& connection,
                                parser_type& parser);
+    bool reserve(std::size_t bytes);
+    asio::awaitable<bool> wait_for_memory(std::size_t bytes);
     void apply_status(http_response const& response);
     bool belongs_to_other_request(http_response const& response) const;
     bool is_stray(http_response const& response);
@@ -78,6 +83,8 @@
     core::request_id const id_;
     /// When the first byte was written.
     core::time_point sent_at_;
+    /// Time for which reading was suspended for lack of memory.
+    core::duration memory_wait_{};
     /// The result so far.
     exchange_result result_;
 };
--- a/kumquatloom/entry/worker_resources.hpp
+++ b/kumquatloom/entry/worker_resources.hpp
@@ -13,6 +13,7 @@
 {
 
 struct instance_state;
+class message_memory;
 
 /// Resources shared by the requests of one worker; used by its thread only.
 struct worker_resources
@@ -37,6 +38,8 @@
     upstream_pools pools;
     /// Queues of requests that wait for a slot.
     slot_queues queues;
+    /// Reserves memory for responses; null if nothing frees any.
+    message_memory* memory = nullptr;
     /// Random numbers for load balancing and jitter.
     std::mt19937_64 random;
 };
--- a/kumquatloom/hosting/hosted_instance.cpp
+++ b/kumquatloom/hosting/hosted_instance.cpp
@@ -87,6 +87,7 @@
     result.callers.body_limit_bytes = max_body_bytes;
     result.callers.connections = caller_connections(given);
     result.callers.min_body_rate = given.min_body_rate;
+    result.callers.memory_wait = given.memory_wait;
     result.operators.connections = port_connections(given);
     result.callers.entries_ttl = std::chrono::milliseconds::zero();
     result.upstreams.connections_per_upstream = connections_per_upstream;
--- a/kumquatloom/hosting/hosted_settings.hpp
+++ b/kumquatloom/hosting/hosted_settings.hpp
@@ -90,6 +90,9 @@
     /// Minimum rate of a request's body, in bytes per second; see
     /// settings::caller_settings::min_body_rate.
     std::size_t min_body_rate = 16 * 1024;
+    /// Maximum time for which a message waits for memory; see
+    /// settings::caller_settings::memory_wait.
+    std::chrono::milliseconds memory_wait{1000};
     /// Memory limit of the process.
     std::size_t memory_bytes = 256 * 1024 * 1024;
 };
--- a/kumquatloom/limits/connection_shedding.cpp
+++ b/kumquatloom/limits/connection_shedding.cpp
@@ -44,6 +44,7 @@
 }
 
 std::uint64_t memory_gain(connection_activity const& activity,
+                          message_kind kind,
                           core::time_point now,
                           shedding_settings const& settings)
 {
@@ -53,7 +54,9 @@
     if (!waits_for_caller || time < settings.min_stall)
         return 0;
     // In KiB, so that the product fits for all sizes and times.
-    return activity.held_bytes / kibibyte * to_milliseconds(time);
+    auto const held = kind == message_kind::request ? activity.request_bytes
+                                                    : activity.response_bytes;
+    return held / kibibyte * to_milliseconds(time);
 }
 
 } // namespace kumquatloom::limits
--- a/kumquatloom/limits/connection_shedding.hpp
+++ b/kumquatloom/limits/connection_shedding.hpp
@@ -22,6 +22,13 @@
     writing
 };
 
+/// The two kinds of messages, each with memory of its own.
+enum class message_kind
+{
+    request,
+    response
+};
+
 /// What a connection has done, as far as it decides whether the connection is
 /// closed to make room for others.
 struct connection_activity
@@ -32,8 +39,9 @@
     /// When the phase began, or when the caller last made sufficient progress
     /// in it.
     core::time_point progressed_at{};
-    /// Memory held for the message that is read or written.
-    std::size_t held_bytes = 0;
+    /// Memory held for the request of the connection, and for its responses.
+    std::size_t request_bytes = 0;
+    std::size_t response_bytes = 0;
 };
 
 /// When connections are closed to make room for others.
@@ -57,10 +65,11 @@
                               shedding_settings const& settings);
 
 /// How much is gained by refusing the request or the response of a connection
-/// so that its memory can be used for another; 0 if it must not be refused. The
-/// one that has held the most for the longest time without progress comes
-/// first.
+/// so that its memory for this kind of messages can be used for another; 0 if
+/// it must not be refused. The one that has held the most for the longest time
+/// without progress comes first.
 std::uint64_t memory_gain(connection_activity const& activity,
+                          message_kind kind,
                           core::time_point now,
                           shedding_settings const& settings);
 
--- a/kumquatloom/limits/transfer_progress.hpp
+++ b/kumquatloom/limits/transfer_progress.hpp
@@ -27,7 +27,7 @@
     /// Records the total number of bytes transferred so far.
     void record(std::size_t total_bytes, core::time_point now)
     {
-        if (total_bytes - step_start_ < step_bytes_)
+        if (total_bytes < step_start_ + step_bytes_)
             return;
         step_start_ = total_bytes;
         step_began_ = now;
--- a/kumquatloom/log_service/read_message.hpp
+++ b/kumquatloom/log_service/read_message.hpp
@@ -18,19 +18,31 @@
 namespace kumquatloom::log_service
 {
 
+/// Doesn't wait for memory, so that a message that is not accepted fails.
+struct no_wait
+{
+    boost::asio::awaitable<bool> operator()() const
+    {
+        co_return false;
+    }
+};
+
 /// Reads until `is_done`. Fails with not_enough_memory if `accept_part`, called
-/// with the bytes received whenever the message may have grown, returns false.
+/// with the bytes received whenever the message may have grown, returns false
+/// and so does `wait`, which may wait until there is memory for it.
 /// Beast's own reads buffer whole headers and trailers without such a check.
 template <typename Stream,
           typename Parser,
           std::predicate IsDone,
-          std::predicate<std::size_t> AcceptPart>
+          std::predicate<std::size_t> AcceptPart,
+          typename Wait>
 boost::asio::awaitable<boost::system::error_code>
 read_until(Stream& stream,
            receive_buffer& buffer,
            Parser& parser,
            IsDone is_done,
-           AcceptPart accept_part)
+           AcceptPart accept_part,
+           Wait wait)
 {
     namespace http = boost::beast::http;
     constexpr auto as_result =
@@ -49,7 +61,12 @@
         if (error && error != http::error::need_more)
             co_return error;
         if (!accept_part(received))
-            co_return make_error_code(boost::system::errc::not_enough_memory);
+        {
+            bool const accepted = co_await wait();
+            if (!accepted)
+                co_return make_error_code(
+                    boost::system::errc::not_enough_memory);
+        }
         // Parse what has been received before reading more.
         if (is_done() || (!error && used != 0 && buffer.size() != 0))
             continue;
@@ -75,12 +92,16 @@
 }
 
 /// Reads a message up to the end of its header. See read_until().
-template <typename Stream, typename Parser, std::predicate AcceptSize>
+template <typename Stream,
+          typename Parser,
+          std::predicate AcceptSize,
+          typename Wait = no_wait>
 boost::asio::awaitable<boost::system::error_code>
 read_header(Stream& stream,
             receive_buffer& buffer,
             Parser& parser,
-            AcceptSize accept_size)
+            AcceptSize accept_size,
+            Wait wait = {})
 {
     parser.eager(false);
     auto const is_done = [&parser]
@@ -91,18 +112,23 @@
     {
         return accept_size();
     };
-    co_return co_await read_until(stream, buffer, parser, is_done, accept_part);
+    co_return co_await read_until(
+        stream, buffer, parser, is_done, accept_part, wait);
 }
 
 /// Reads the rest of a message after its header. Fails with body_limit if the
 /// body with its framing exceeds `limit` and an allowance. See read_until().
-template <typename Stream, typename Parser, std::predicate AcceptSize>
+template <typename Stream,
+          typename Parser,
+          std::predicate AcceptSize,
+          typename Wait = no_wait>
 boost::asio::awaitable<boost::system::error_code>
 read_body(Stream& stream,
           receive_buffer& buffer,
           Parser& parser,
           std::size_t limit,
-          AcceptSize accept_size)
+          AcceptSize accept_size,
+          Wait wait = {})
 {
     namespace http = boost::beast::http;
     // Chunk headers and trailers of a body of the maximum size.
@@ -118,8 +144,15 @@
         exceeded = received > limit + framing_allowance;
         return !exceeded && accept_size();
     };
-    auto const error =
-        co_await read_until(stream, buffer, parser, is_done, accept_part);
+    auto const wait_unless_exceeded = [&]() -> boost::asio::awaitable<bool>
+    {
+        bool accepted = false;
+        if (!exceeded)
+            accepted = co_await wait();
+        co_return accepted;
+    };
+    auto const error = co_await read_until(
+        stream, buffer, parser, is_done, accept_part, wait_unless_exceeded);
     if (exceeded)
         co_return make_error_code(http::error::body_limit);
     co_return error;
--- a/kumquatloom/settings/instance_settings.cpp
+++ b/kumquatloom/settings/instance_settings.cpp
@@ -144,6 +144,11 @@
         "idle_timeout_ms", 10ms, 3600s, callers.idle_timeout);
     callers.min_body_rate = reader.number_or(
         "min_body_bytes_per_s", 1, gibibyte, callers.min_body_rate);
+    callers.memory_wait = reader.milliseconds_or(
+        "memory_wait_ms",
+        0ms,
+        callers.header_timeout,
+        std::min(callers.memory_wait, callers.header_timeout));
     callers.connections =
         reader.number_or("connections", 1, 1000000, callers.connections);
     callers.pipelined_requests = reader.number_or(
@@ -287,6 +292,7 @@
     "header_timeout_ms": 5000,
     "idle_timeout_ms": 60000,
     "min_body_bytes_per_s": 16384,
+    "memory_wait_ms": 1000,
     "connections": 4096,
     "pipelined_requests": 16,
     "pipelined_bytes": 262144,
--- a/kumquatloom/settings/instance_settings.hpp
+++ b/kumquatloom/settings/instance_settings.hpp
@@ -91,6 +91,9 @@
     /// Minimum rate at which a body must arrive, in bytes per second, measured
     /// over `header_timeout`. A body that is complete sooner needs none.
     std::size_t min_body_rate = 16 * 1024;
+    /// Maximum time for which a request with a large body, or a response of an
+    /// upstream, waits for memory; at most `header_timeout`.
+    std::chrono::milliseconds memory_wait{1000};
     /// Maximum number of open connections.
     std::size_t connections = 4096;
     /// Maximum number of requests of one connection that were read and not
--- a/unit_tests/entry/memory_budget_test.cpp
+++ b/unit_tests/entry/memory_budget_test.cpp
@@ -67,6 +67,7 @@
         {
             memory_budget::reservation large(budget);
             CHECK(large.grow_to(limit / 8 * 7));
+            CHECK_FALSE(large.grow_to(limit / 8 * 7 + 1));
         }
         CHECK(budget.used() == 0);
     }
--- a/unit_tests/limits/connection_shedding_test.cpp
+++ b/unit_tests/limits/connection_shedding_test.cpp
@@ -12,6 +12,7 @@
 using namespace kumquatloom;
 using limits::connection_activity;
 using limits::connection_phase;
+using limits::message_kind;
 
 core::time_point const start{1000h};
 limits::shedding_settings const settings;
@@ -26,7 +27,7 @@
         [](connection_phase phase, bool served, core::duration age)
     {
         return limits::connection_gain(
-            {phase, served, start, 0}, start + age, settings);
+            {phase, served, start}, start + age, settings);
     };
 
     SECTION("one without a complete request comes first, the oldest of them")
@@ -60,11 +61,19 @@
 TEST_CASE("memory is freed where most is held without progress", "[limits]")
 {
     constexpr std::size_t mebibyte = 1024UL * 1024;
+    auto const kind = GENERATE(message_kind::request, message_kind::response);
     auto const gain =
-        [](connection_phase phase, core::duration stall, std::size_t bytes)
+        [kind](connection_phase phase, core::duration stall, std::size_t bytes)
     {
-        return limits::memory_gain(
-            {phase, false, start, bytes}, start + stall, settings);
+        bool const is_request = kind == message_kind::request;
+        return limits::memory_gain({phase,
+                                    false,
+                                    start,
+                                    is_request ? bytes : 0,
+                                    is_request ? 0 : bytes},
+                                   kind,
+                                   start + stall,
+                                   settings);
     };
     auto const phase =
         GENERATE(connection_phase::reading, connection_phase::writing);
@@ -82,6 +91,17 @@
         CHECK(gain(phase, settings.min_stall, mebibyte) > 0);
     }
 
+    SECTION("memory of the other kind doesn't count")
+    {
+        connection_activity const other{
+            phase,
+            true,
+            start,
+            kind == message_kind::response ? mebibyte : 0,
+            kind == message_kind::request ? mebibyte : 0};
+        CHECK(limits::memory_gain(other, kind, start + 24h, settings) == 0);
+    }
+
     SECTION("one that is idle or executing is kept")
     {
         CHECK(gain(connection_phase::idle, 24h, mebibyte) == 0);
--- a/unit_tests/platform/formats_test.cpp
+++ b/unit_tests/platform/formats_test.cpp
@@ -233,6 +233,18 @@
         CHECK(found.size() == 1);
     }
 
+    SECTION("a wait for memory ends within the grace period")
+    {
+        core::fault_list found;
+        auto const fits =
+            parse_settings_file(text + "limits.memoryWaitMs=6000\n", found);
+        CHECK(found.empty());
+        CHECK(fits.instance.memory_wait == 6s);
+        parse_settings_file(text + "limits.memoryWaitMs=6001\n", found);
+        REQUIRE(found.size() == 1);
+        CHECK(found[0].pointer == "limits.memoryWaitMs");
+    }
+
     SECTION("a malformed bound is reported by name")
     {
         auto broken = text;
--- a/unit_tests/settings/instance_settings_test.cpp
+++ b/unit_tests/settings/instance_settings_test.cpp
@@ -51,6 +51,16 @@
         CHECK(faults[0].pointer == "/listen/operators");
     }
 
+    SECTION("a wait for memory beyond the header timeout is reported")
+    {
+        std::string const wait = "\"memory_wait_ms\": ";
+        CHECK(faults_of(defaults_with(wait + "1000", wait + "5000")).empty());
+        auto const faults =
+            faults_of(defaults_with(wait + "1000", wait + "5001"));
+        REQUIRE(faults.size() == 1);
+        CHECK(faults[0].pointer == "/callers/memory_wait_ms");
+    }
+
     SECTION("a platform public key that is too short is reported")
     {
         auto const faults = faults_of(defaults_with(
