Count connections to other ports that are closed for new ones

Cause: connection_slots counted them, but the count was in no metric, so that an operator could not see why a health check lost its connection.

Change: connection_slots calls a function for each; the operators', readiness, directory and neighbours' ports count them as port-displaced in kumquatloom_events_total.

Test: "connections to the operators' port that were displaced are counted" (the counter did not exist before).

--- a/kumquatloom/entry/connection_slots.cpp
+++ b/kumquatloom/entry/connection_slots.cpp
@@ -36,7 +36,8 @@
     unlink();
     is_open_ = false;
     --slots_.open_;
-    ++slots_.closed_;
+    if (slots_.on_close_)
+        slots_.on_close_();
     // Frees the descriptor now; the coroutine ends with its next operation.
     stream_.close();
 }
--- a/kumquatloom/entry/connection_slots.hpp
+++ b/kumquatloom/entry/connection_slots.hpp
@@ -6,6 +6,8 @@
 #include <boost/intrusive/list.hpp>
 
 #include <cstddef>
+#include <functional>
+#include <utility>
 
 namespace kumquatloom::entry
 {
@@ -46,9 +48,12 @@
         bool is_open_ = true;
     };
 
-    /// Allows `limit` connections.
-    explicit connection_slots(std::size_t limit)
+    /// Allows `limit` connections. `on_close` is called for each that is closed
+    /// to make room.
+    explicit connection_slots(std::size_t limit,
+                              std::function<void()> on_close = {})
         : limit_(limit)
+        , on_close_(std::move(on_close))
     {
     }
 
@@ -58,16 +63,10 @@
         return open_;
     }
 
-    /// Number of connections that were closed to make room.
-    std::size_t closed() const
-    {
-        return closed_;
-    }
-
 private:
     std::size_t const limit_;
+    std::function<void()> const on_close_;
     std::size_t open_ = 0;
-    std::size_t closed_ = 0;
     /// Connections without a request in progress; the first one has waited
     /// longest.
     boost::intrusive::list<slot, boost::intrusive::constant_time_size<false>>
--- a/kumquatloom/entry/entry_event.cpp
+++ b/kumquatloom/entry/entry_event.cpp
@@ -25,6 +25,8 @@
         return "request-waited";
     case entry_event::response_waited:
         return "response-waited";
+    case entry_event::port_displaced:
+        return "port-displaced";
     case entry_event::request_received:
         return "request-received";
     case entry_event::request_read_ahead:
--- a/kumquatloom/entry/entry_event.hpp
+++ b/kumquatloom/entry/entry_event.hpp
@@ -24,6 +24,9 @@
     /// A request, or a response of an upstream, waited for memory.
     request_waited,
     response_waited,
+    /// A connection to a port that is not for callers was closed to make room
+    /// for another one.
+    port_displaced,
     request_received,
     /// A request was read before an earlier one of its connection was answered.
     request_read_ahead,
--- a/kumquatloom/entry/operator_server.cpp
+++ b/kumquatloom/entry/operator_server.cpp
@@ -51,7 +51,11 @@
     : context_(context)
     , state_(state)
     , drain_(drain)
-    , slots_(state.settings.operators.connections)
+    , slots_(state.settings.operators.connections,
+             [this]
+             {
+                 state_.events.increment(entry_event::port_displaced);
+             })
     , acceptor_(context, address)
 {
 }
--- a/kumquatloom/entry/page_server.cpp
+++ b/kumquatloom/entry/page_server.cpp
@@ -33,10 +33,11 @@
 page_server::page_server(asio::io_context& context,
                          tcp::endpoint const& address,
                          std::size_t max_connections,
+                         std::function<void()> on_displaced,
                          handler page_handler)
     : context_(context)
     , handler_(std::move(page_handler))
-    , slots_(max_connections)
+    , slots_(max_connections, std::move(on_displaced))
     , acceptor_(context, address)
 {
 }
--- a/kumquatloom/entry/page_server.hpp
+++ b/kumquatloom/entry/page_server.hpp
@@ -21,10 +21,12 @@
     using handler = std::function<http_response(std::string_view target)>;
 
     /// Binds to the address and listens, for at most `max_connections` at a
-    /// time. Throws if either fails.
+    /// time; `on_displaced` is called for each that is closed to make room.
+    /// Throws if either fails.
     page_server(asio::io_context& context,
                 tcp::endpoint const& address,
                 std::size_t max_connections,
+                std::function<void()> on_displaced,
                 handler page_handler);
 
     /// Accepts connections until close().
@@ -33,12 +35,6 @@
     /// Stops accepting connections.
     void close();
 
-    /// Number of connections that were closed to make room for others.
-    std::size_t displaced() const
-    {
-        return slots_.closed();
-    }
-
     /// The local address that the socket is bound to.
     tcp::endpoint address() const
     {
--- a/kumquatloom/hosting/hosted_instance.cpp
+++ b/kumquatloom/hosting/hosted_instance.cpp
@@ -221,6 +221,7 @@
         , snapshot_server(context,
                           to_tcp_endpoint(settings.listen.neighbours),
                           port_connections(settings),
+                          count_displaced(),
                           [this](std::string_view target)
                           {
                               return serve_contents(target);
@@ -249,6 +250,15 @@
         directory_server = make_page_server(settings.listen.directory);
     }
 
+    /// Counts the connections to a port that were closed to make room.
+    std::function<void()> count_displaced()
+    {
+        return [this]
+        {
+            state.events.increment(entry::entry_event::port_displaced);
+        };
+    }
+
     /// Serves the platform's pages on an address, if it is configured.
     std::unique_ptr<entry::page_server>
     make_page_server(std::optional<settings::endpoint> const& address)
@@ -259,6 +269,7 @@
             context,
             to_tcp_endpoint(*address),
             port_connections(settings),
+            count_displaced(),
             [this](std::string_view target)
             {
                 return serve_page(target);
--- a/unit_tests/entry/connection_slots_test.cpp
+++ b/unit_tests/entry/connection_slots_test.cpp
@@ -27,14 +27,19 @@
         stream.socket().open(entry::tcp::v4());
         return stream;
     };
-    connection_slots slots(2);
+    unsigned closed = 0;
+    connection_slots slots(2,
+                           [&closed]
+                           {
+                               ++closed;
+                           });
     auto first_stream = make_stream();
     auto second_stream = make_stream();
     auto third_stream = make_stream();
     connection_slots::slot first(slots, first_stream);
     connection_slots::slot second(slots, second_stream);
     CHECK(slots.open() == 2);
-    CHECK(slots.closed() == 0);
+    CHECK(closed == 0);
 
     SECTION("one above the limit takes the place of the oldest")
     {
@@ -65,7 +70,7 @@
         connection_slots::slot third(slots, third_stream);
         CHECK_FALSE(third_stream.socket().is_open());
         CHECK(slots.open() == 2);
-        CHECK(slots.closed() == 1);
+        CHECK(closed == 1);
     }
 }
 
--- a/unit_tests/entry/operator_memory_test.cpp
+++ b/unit_tests/entry/operator_memory_test.cpp
@@ -62,3 +62,22 @@
             });
     }
 }
+
+// Guards against health checks that are closed for lack of connections without
+// a trace in the metrics.
+TEST_CASE("connections to the operators' port that were displaced are counted",
+          "[entry]")
+{
+    entry_fixture fixture;
+    fixture.settings.operators.connections = 1;
+    fixture.start();
+    raw_caller idle(fixture.instance().operators_port());
+    constexpr char const* displaced =
+        "kumquatloom_events_total{event=\"port-displaced\"}";
+    entry_fixture::wait_until(
+        [&]
+        {
+            return fixture.metric(displaced) != 0;
+        });
+    CHECK(idle.ended());
+}
