--- a/kumquatloom/hosting/hosted_instance.cpp
+++ b/kumquatloom/hosting/hosted_instance.cpp
@@ -90,6 +90,7 @@
     result.callers.body_limit_bytes = max_body_bytes;
     result.callers.connections = caller_connections(given);
     result.callers.min_body_rate = given.min_body_rate;
+    result.callers.memory_wait = given.memory_wait;
     result.operators.connections = port_connections(given);
     result.callers.entries_ttl = std::chrono::milliseconds::zero();
     result.upstreams.connections_per_upstream = connections_per_upstream;
@@ -230,6 +231,7 @@
         , snapshot_server(context,
                           to_tcp_endpoint(settings.listen.neighbours),
                           port_connections(settings),
+                          count_displaced(),
                           [this](std::string_view target)
                           {
                               return serve_contents(target);
@@ -259,6 +261,15 @@
         directory_server = make_page_server(settings.listen.directory);
     }
 
+    /// Counts the connections to a port that were closed to make room.
+    std::function<void()> count_displaced()
+    {
+        return [this]
+        {
+            state.events.increment(entry::entry_event::port_displaced);
+        };
+    }
+
     /// Serves the platform's pages on an address, if it is configured.
     std::unique_ptr<entry::page_server>
     make_page_server(std::optional<settings::endpoint> const& address)
@@ -269,6 +280,7 @@
             context,
             to_tcp_endpoint(*address),
             port_connections(settings),
+            count_displaced(),
             [this](std::string_view target)
             {
                 return serve_page(target);
