Add an admission level and an order of return to the shortage model

Cause: each instance orders only its own queue, so that requests of a lower priority at one instance take slots that urgent ones at another wait for. Both are used by the experiment shortage only, which now takes the numbers of instances, upstreams and slots, and prints oscillation, gaps in service and arrivals after the fault. The program's decisions are unchanged.

--- a/kumquatloom/limits/room_estimate.hpp
+++ b/kumquatloom/limits/room_estimate.hpp
@@ -43,6 +43,12 @@
         return grants_.per_second(now);
     }
 
+    /// Requests of a priority per second that arrived lately.
+    double arrivals_per_s(priority value, core::time_point now) const
+    {
+        return arrivals_[static_cast<std::size_t>(value)].per_second(now);
+    }
+
 private:
     static constexpr std::size_t levels =
         static_cast<std::size_t>(priority::count);
--- a/kumquatloom/request/return_delay.hpp
+++ b/kumquatloom/request/return_delay.hpp
@@ -17,6 +17,16 @@
 /// return at ever shorter intervals until its time has passed.
 inline constexpr std::chrono::milliseconds least_return_delay{20};
 
+/// The longest delay that a caller with `remaining` time honours, less room for
+/// the transfer of the response and for other clocks.
+inline core::duration longest_return_delay(core::duration remaining)
+{
+    constexpr int honoured_part = 3;
+    constexpr double margin = 0.9;
+    return std::chrono::duration_cast<core::duration>(
+        std::max(remaining, core::duration::zero()) * margin / honoured_part);
+}
+
 /// The delay after which a refused caller should return: when room is expected,
 /// spread over half of that time, so that callers which were refused together
 /// don't return together. Callers don't honour more than a third of the time
@@ -26,14 +36,10 @@
                                    core::duration remaining,
                                    double fraction)
 {
-    constexpr int honoured_part = 3;
-    // Room for the transfer of the response and for other clocks.
-    constexpr double margin = 0.9;
     constexpr double min_spread = 0.5;
     auto const expected =
         std::max<core::duration>(room_expected, min_return_delay);
-    auto const longest = std::chrono::duration_cast<core::duration>(
-        std::max(remaining, core::duration::zero()) * margin / honoured_part);
+    auto const longest = longest_return_delay(remaining);
     // [0.75, 1.25) of the expected time, or [0.5, 1) of the longest useful one.
     auto const spread = std::chrono::duration_cast<core::duration>(
         expected * (0.75 + min_spread * fraction));
--- a/measure/main.cpp
+++ b/measure/main.cpp
@@ -107,6 +107,15 @@
     setup.cause =
         measure::parse_shortage_cause(parsed["fault"].as<std::string>());
     setup.seed = parsed["seed"].as<std::uint64_t>();
+    // The defaults of these options are those of other experiments.
+    if (parsed.count("instances") != 0)
+        setup.instances = parsed["instances"].as<unsigned>();
+    if (parsed.count("upstreams") != 0)
+        setup.upstreams = parsed["upstreams"].as<unsigned>();
+    if (parsed.count("slots") != 0)
+        setup.slots = parsed["slots"].as<unsigned>();
+    if (setup.instances == 0 || setup.upstreams == 0 || setup.slots == 0)
+        throw std::invalid_argument("a number must be at least 1");
     std::cout << boost::json::serialize(measure::run_shortage(setup)) << '\n';
 }
 
@@ -185,11 +194,12 @@
         "or lower",
         cxxopts::value<std::string>()->default_value("fault"),
         "NAME")("instances",
-                "instances of the experiments shared-choice and "
+                "instances of the experiments shared-choice, shortage and "
                 "failure-episodes",
                 cxxopts::value<unsigned>()->default_value("21"),
                 "N")("slots",
-                     "slots of an upstream in the experiment shared-choice",
+                     "slots of an upstream in the experiments shared-choice "
+                     "and shortage",
                      cxxopts::value<unsigned>()->default_value("4"),
                      "N")(
         "report-interval",
@@ -230,7 +240,9 @@
         "(current), least-used-of-all or free-slots; in the experiment "
         "shortage standard, earliest-deadline, weighted-shortest, "
         "priority-threshold, cost-aware (current), cost-aware-late, "
-        "cost-aware-equal-retries or oracle; in the experiment "
+        "cost-aware-equal-retries, domain-level, fleet-level, "
+        "ordered-returns, domain-level-ordered-returns or oracle; in the "
+        "experiment "
         "failure-episodes standard (current), freshness, exploring, "
         "fewer-trials or oracle",
         cxxopts::value<text>()->default_value("current"),
--- a/measure/shortage.cpp
+++ b/measure/shortage.cpp
@@ -1,8 +1,10 @@
+#include <kumquatloom/limits/admission_level.hpp>
 #include <kumquatloom/limits/cost_aware_queue.hpp>
 #include <kumquatloom/limits/deadline_admission.hpp>
 #include <kumquatloom/limits/priority_fair_queue.hpp>
 #include <kumquatloom/limits/retry_budget.hpp>
 #include <kumquatloom/limits/retry_preference.hpp>
+#include <kumquatloom/limits/return_order.hpp>
 #include <kumquatloom/limits/shortage_control.hpp>
 #include <kumquatloom/request/return_delay.hpp>
 #include <kumquatloom/routing/picker.hpp>
@@ -35,6 +37,9 @@
 constexpr double late_worth = 0.3;
 constexpr core::duration poll_interval = 5ms;
 constexpr core::duration report_interval = 50ms;
+/// Interval and number of receivers of the reports for the admission level.
+constexpr core::duration level_interval = 100ms;
+constexpr unsigned level_receivers = 4;
 constexpr unsigned upstream_queue = 8;
 constexpr unsigned organisations = 40;
 constexpr unsigned max_attempts = 2;
@@ -101,12 +106,12 @@
 /// One entry instance.
 struct shortage_instance
 {
-    explicit shortage_instance(core::time_point now)
+    shortage_instance(core::time_point now, std::size_t max_waiting)
         : picker(routing::balancing_policy::least_used)
         , standard_queue({})
         , admission({1000ms, 50})
         , budget({17, 0, 1}, now)
-        , cost_aware_queue(256)
+        , cost_aware_queue(max_waiting)
         , preference(17)
     {
     }
@@ -120,6 +125,9 @@
     limits::cost_aware_queue<request_pointer> cost_aware_queue;
     limits::shortage_control control;
     limits::retry_preference preference;
+    limits::admission_level level;
+    limits::return_order returns;
+    std::uint32_t level_reports = 0;
     /// Waiting requests under the other policies.
     std::vector<request_pointer> waiting;
     unsigned in_flight = 0;
@@ -153,8 +161,8 @@
                             false});
         for (unsigned i = 0; i < setup.instances; ++i)
         {
-            instances_.push_back(
-                std::make_unique<shortage_instance>(core::time_point()));
+            instances_.push_back(std::make_unique<shortage_instance>(
+                core::time_point(), max_waiting(setup)));
             auto& instance = *instances_.back();
             auto const table = routing::upstream_table::build(
                 nullptr,
@@ -176,6 +184,14 @@
                      {
                          report(i);
                      });
+        if (has_level())
+            for (unsigned i = 0; i < setup_.instances; ++i)
+                schedule(
+                    core::time_point(level_interval * i / setup_.instances),
+                    [this, i]
+                    {
+                        exchange_level(i);
+                    });
         schedule_arrival();
         if (setup_.cause == shortage_cause::lost_domain)
             schedule(fault_at,
@@ -214,9 +230,30 @@
         return setup_.policy == shortage_policy::oracle;
     }
 
+    bool has_level() const
+    {
+        return setup_.policy == shortage_policy::domain_level ||
+               setup_.policy == shortage_policy::domain_level_ordered_returns ||
+               setup_.policy == shortage_policy::fleet_level;
+    }
+
+    bool orders_returns() const
+    {
+        return setup_.policy == shortage_policy::ordered_returns ||
+               setup_.policy == shortage_policy::domain_level_ordered_returns;
+    }
+
+    /// A single instance stands for the queues of all.
+    static std::size_t max_waiting(shortage_scenario const& setup)
+    {
+        constexpr std::size_t usual = 256;
+        return setup.instances > 1 ? usual : usual * setup.upstreams;
+    }
+
     bool is_cost_aware() const
     {
-        return setup_.policy == shortage_policy::cost_aware ||
+        return has_level() || orders_returns() ||
+               setup_.policy == shortage_policy::cost_aware ||
                setup_.policy == shortage_policy::cost_aware_late ||
                setup_.policy == shortage_policy::cost_aware_equal_retries;
     }
@@ -335,6 +372,7 @@
     void arrive(request_pointer const& request)
     {
         auto const now = events_.now();
+        count_arrival(*request);
         request->received = now;
         request->attempts = 0;
         request->tried.clear();
@@ -395,6 +433,13 @@
             limit,
             control.work.times(request->kind->route, now));
         auto const name = name_of(request->organisation);
+        // A retry has been admitted before.
+        if (has_level() && request->attempts == 0 &&
+            instance.level.refuses(level, times.on_time - now, now))
+        {
+            refuse(request, "admission-level");
+            return;
+        }
         bool const is_first = instance.cost_aware_queue.size() == 0;
         auto const ahead =
             instance.cost_aware_queue.ahead_of(name, level, times, now);
@@ -764,6 +809,9 @@
             return;
         auto const latency = events_.now() - request->sent;
         auto& kind = results(*request);
+        if (is_fault(events_.now()))
+            ++served_[static_cast<std::size_t>((events_.now() - fault_at) /
+                                               bin)][request->kind->level];
         if (latency > time_limit)
         {
             lose(*request, "too-late");
@@ -786,15 +834,8 @@
         auto& instance = *instances_[request->instance];
         if (is_cost_aware())
         {
-            auto const level = request->kind->level;
             delay = request::return_delay(
-                instance.control.expected_wait(
-                    instance.cost_aware_queue.items_up_to(level) + 1,
-                    level,
-                    instance.in_flight,
-                    now),
-                remaining,
-                uniform());
+                room_expected(instance, *request), remaining, uniform());
         }
         else
         {
@@ -819,6 +860,29 @@
                  });
     }
 
+    /// Time until there is room for a request that is refused.
+    core::duration room_expected(shortage_instance& instance,
+                                 shortage_request const& request)
+    {
+        auto const now = events_.now();
+        auto const level = request.kind->level;
+        auto const wait = [&](std::size_t ahead)
+        {
+            return instance.control.expected_wait(
+                ahead, level, instance.in_flight, now);
+        };
+        auto const ahead = instance.cost_aware_queue.items_up_to(level);
+        if (!orders_returns())
+            return wait(ahead + 1);
+        return instance.returns.reserve(
+            name_of(request.organisation),
+            level,
+            wait(ahead),
+            wait(1),
+            request::longest_return_delay(request.limit() - now),
+            now);
+    }
+
     void lose(shortage_request const& request, std::string const& reason)
     {
         if (request.measured)
@@ -933,6 +997,49 @@
                  });
     }
 
+    /// Updates the level of an instance and sends its report to some others.
+    void exchange_level(unsigned number)
+    {
+        auto const now = events_.now();
+        auto& sender = *instances_[number];
+        limits::room_report report;
+        for (std::size_t i = 0; i < limits::room_report::levels; ++i)
+            report.arrivals_per_s[i] =
+                static_cast<float>(sender.control.room.arrivals_per_s(
+                    static_cast<priority>(i), now));
+        report.waiting = static_cast<float>(sender.cost_aware_queue.size());
+        report.slots_per_s =
+            static_cast<float>(sender.control.room.grants_per_s(now));
+        sender.level.update(report, now);
+        ++sender.level_reports;
+        unsigned const scope =
+            setup_.policy == shortage_policy::fleet_level ? 1 : setup_.domains;
+        auto const members = setup_.instances / scope;
+        for (unsigned i = 0; i < level_receivers && members > 1; ++i)
+        {
+            // Instances are spread over the domains in turn.
+            auto const receiver =
+                number % scope +
+                scope * static_cast<unsigned>(random_() % members);
+            if (receiver != number)
+                schedule(now + 1ms,
+                         [this,
+                          number,
+                          receiver,
+                          report,
+                          sequence = sender.level_reports]
+                         {
+                             instances_[receiver]->level.record(
+                                 number, 1, sequence, report, events_.now());
+                         });
+        }
+        schedule(now + level_interval,
+                 [this, number]
+                 {
+                     exchange_level(number);
+                 });
+    }
+
     unsigned number_of(shortage_request const& request) const
     {
         auto const& objects = instances_[request.instance]->objects;
@@ -988,9 +1095,66 @@
                             0.0) /
             static_cast<double>(tenth);
         result["returns"] = returns_;
+        add_course(result);
         return result;
     }
 
+    /// Counts the arrivals in the second after the fault.
+    void count_arrival(shortage_request const& request)
+    {
+        auto const since = events_.now() - fault_end();
+        if (since < core::duration::zero() || since >= core::duration(1s))
+            return;
+        ++arrivals_after_;
+        if (request.kind->level == priority::normal)
+            ++urgent_after_;
+        ++arrivals_by_bin_[static_cast<std::size_t>(since / bin)];
+    }
+
+    /// Adds how the requests served and the arrivals varied over time.
+    void add_course(boost::json::object& result) const
+    {
+        auto const bins =
+            static_cast<std::size_t>((fault_end() - fault_at) / bin);
+        double sum = 0;
+        double squares = 0;
+        std::size_t gap = 0;
+        std::size_t longest_gap = 0;
+        for (std::size_t i = 0; i < bins; ++i)
+        {
+            auto const found = served_.find(i);
+            double count = 0;
+            bool has_other = false;
+            if (found != served_.end())
+                for (auto const& [level, number] : found->second)
+                {
+                    count += number;
+                    has_other = has_other || level == priority::low;
+                }
+            sum += count;
+            squares += count * count;
+            gap = has_other ? 0 : gap + 1;
+            longest_gap = std::max(longest_gap, gap);
+        }
+        auto const number = static_cast<double>(bins);
+        double const mean = sum / number;
+        // Deviation of the requests served in 100 ms as a part of their mean.
+        result["oscillation"] =
+            std::sqrt(std::max(squares / number - mean * mean, 0.0)) / mean;
+        result["longest_gap_ms"] = longest_gap * 100;
+        // Relative to the usual rate.
+        double const usual =
+            usual_load * setup_.upstreams * setup_.slots / mean_work();
+        result["arrivals_after"] = arrivals_after_ / usual;
+        result["urgent_after"] = urgent_after_ / (usual * kinds[0].share);
+        result["peak_after"] =
+            *std::max_element(arrivals_by_bin_.begin(),
+                              arrivals_by_bin_.end()) /
+            (usual * std::chrono::duration<double>(bin).count());
+    }
+
+    static constexpr core::duration bin = 100ms;
+
     shortage_scenario setup_;
     std::mt19937_64 random_;
     event_queue events_;
@@ -1004,6 +1168,12 @@
     /// Offered and served requests by organisation.
     std::map<unsigned, std::pair<double, double>> by_organisation_;
     unsigned returns_ = 0;
+    /// Served requests of the fault, by bin and priority.
+    std::map<std::size_t, std::map<priority, unsigned>> served_;
+    /// Arrivals in the second after the fault.
+    unsigned arrivals_after_ = 0;
+    unsigned urgent_after_ = 0;
+    std::array<double, 10> arrivals_by_bin_{};
     /// Number of the current round of assignments.
     unsigned round_ = 0;
 };
@@ -1021,6 +1191,11 @@
         {"cost-aware", shortage_policy::cost_aware},
         {"cost-aware-late", shortage_policy::cost_aware_late},
         {"cost-aware-equal-retries", shortage_policy::cost_aware_equal_retries},
+        {"ordered-returns", shortage_policy::ordered_returns},
+        {"domain-level-ordered-returns",
+         shortage_policy::domain_level_ordered_returns},
+        {"domain-level", shortage_policy::domain_level},
+        {"fleet-level", shortage_policy::fleet_level},
         {"oracle", shortage_policy::oracle}};
     auto const found = names.find(name);
     if (found == names.end())
--- a/measure/shortage.hpp
+++ b/measure/shortage.hpp
@@ -29,6 +29,14 @@
     cost_aware_late,
     /// As cost_aware, without keeping retries for the higher priority.
     cost_aware_equal_retries,
+    /// As cost_aware, with limits::return_order.
+    ordered_returns,
+    /// As domain_level, with limits::return_order.
+    domain_level_ordered_returns,
+    /// As cost_aware, with limits::admission_level over the failure domain.
+    domain_level,
+    /// As cost_aware, with limits::admission_level over the whole fleet.
+    fleet_level,
     /// One queue that knows all slots and the work of each request.
     oracle
 };
@@ -58,6 +66,7 @@
     unsigned instances = 24;
     unsigned upstreams = 24;
     unsigned slots = 3;
+    unsigned domains = 4;
     std::uint64_t seed = 1;
 };
 
