Refuse requests below an admission level of the failure domain, off by default

Cause: an instance orders only its own queue, so that requests of a lower priority at one instance take slots that urgent ones at another wait for. New cost-aware requests below the level are refused with the reason admission-level. Without reports of others the local decision is unchanged. The setting is off. Result: tests of the level, of the reports and of the message pass.

--- a/kumquatloom/entry/instance_state.hpp
+++ b/kumquatloom/entry/instance_state.hpp
@@ -14,6 +14,7 @@
 #include <kumquatloom/entry/rate_limiter.hpp>
 #include <kumquatloom/entry/service_policy.hpp>
 #include <kumquatloom/entry/service_state.hpp>
+#include <kumquatloom/limits/admission_levels.hpp>
 #include <kumquatloom/limits/load_shedder.hpp>
 #include <kumquatloom/limits/quota_table.hpp>
 #include <kumquatloom/limits/stop_schedule.hpp>
@@ -111,6 +112,9 @@
     /// Enforces the quotas of organisations over the whole fleet; null if the
     /// instance has none. Only for an instance with one thread.
     limits::quota_table* quotas = nullptr;
+    /// Admission levels of the services; null if they are disabled. Only for an
+    /// instance with one thread.
+    limits::admission_levels* levels = nullptr;
     /// Bounds the number of concurrent requests, by priority.
     limits::load_shedder shedder;
     /// Counters of attempts, retries and outcomes.
--- a/kumquatloom/entry/slot_queue.cpp
+++ b/kumquatloom/entry/slot_queue.cpp
@@ -1,5 +1,6 @@
 #include <kumquatloom/core/logging.hpp>
 #include <kumquatloom/entry/slot_queue.hpp>
+#include <kumquatloom/limits/quota_table.hpp>
 
 #include <algorithm>
 #include <chrono>
@@ -40,12 +41,15 @@
 } // namespace
 
 slot_queue::slot_queue(asio::io_context& context,
-                       boost::intrusive_ptr<service_state> service)
+                       boost::intrusive_ptr<service_state> service,
+                       limits::admission_levels* levels)
     : context_(context)
     , service_(std::move(service))
     , queue_({})
     , cost_aware_(max_cost_aware)
     , retries_(service_->retry_percent)
+    , levels_(levels)
+    , service_key_(limits::quota_key(service_->name.value()))
     , timer_(context)
 {
 }
@@ -141,6 +145,9 @@
         limits::start_times_of(request.answer_by,
                                request.until.at(),
                                control_.work.times(request.route, now));
+    if (is_below_level(request, times.on_time - now, now))
+        co_return refuse(limits::shortage_refusal::admission_level,
+                         request.priority);
     // Queued requests have precedence.
     if (waiting() == 0 && now <= times.last)
     {
@@ -190,6 +197,26 @@
     co_return refuse(self->cause, request.priority);
 }
 
+bool slot_queue::is_below_level(slot_request const& request,
+                                core::duration slack,
+                                core::time_point now)
+{
+    if (levels_ == nullptr)
+        return false;
+    limits::room_report report;
+    for (std::size_t i = 0; i < limits::room_report::levels; ++i)
+        report.arrivals_per_s[i] =
+            static_cast<float>(control_.room.arrivals_per_s(
+                static_cast<limits::priority>(i), now));
+    report.waiting = static_cast<float>(waiting());
+    report.slots_per_s = static_cast<float>(control_.room.grants_per_s(now));
+    levels_->observe(
+        service_key_, report, waiting() != 0 || shortage_.is_short(), now);
+    // A retry has been admitted before.
+    return request.selection.tried.empty() &&
+           levels_->refuses(service_key_, request.priority, slack, now);
+}
+
 void slot_queue::assign_slots()
 {
     while (waiting() != 0)
@@ -352,6 +379,10 @@
          {"refused_attempts_percent",
           static_cast<std::uint64_t>(retries_.refused_share(now) * 100)},
          {"refused", shortage_.refused()},
+         {"admission_level_percent",
+          static_cast<std::uint64_t>(
+              levels_ == nullptr ? 0
+                                 : levels_->value(service_key_, now) * 100)},
          {"lasted_ms",
           duration_cast<milliseconds>(shortage_.duration()).count()}});
 }
--- a/kumquatloom/entry/slot_queue.hpp
+++ b/kumquatloom/entry/slot_queue.hpp
@@ -9,6 +9,7 @@
 #include <kumquatloom/entry/request_policy.hpp>
 #include <kumquatloom/entry/service_state.hpp>
 #include <kumquatloom/health/attempt_report.hpp>
+#include <kumquatloom/limits/admission_levels.hpp>
 #include <kumquatloom/limits/connection_turn.hpp>
 #include <kumquatloom/limits/cost_aware_queue.hpp>
 #include <kumquatloom/limits/priority.hpp>
@@ -71,9 +72,11 @@
         std::string_view route;
     };
 
-    /// `context` is that of the worker.
+    /// `context` is that of the worker. `levels` is null if admission levels
+    /// are disabled.
     slot_queue(asio::io_context& context,
-               boost::intrusive_ptr<service_state> service);
+               boost::intrusive_ptr<service_state> service,
+               limits::admission_levels* levels);
 
     /// Chooses an upstream with a free slot, and waits for one if necessary.
     asio::awaitable<result> acquire(slot_request request);
@@ -167,6 +170,9 @@
     asio::awaitable<void> wait_for_slot(waiter& self, cancellation& cancel);
     core::result<routing::pick, admission::refusal_reason>
     refuse(limits::shortage_refusal cause, limits::priority value);
+    bool is_below_level(slot_request const& request,
+                        core::duration slack,
+                        core::time_point now);
     std::size_t attempts_in_flight() const;
     bool is_cost_aware_next();
     bool assign_cost_aware(core::time_point now);
@@ -195,6 +201,10 @@
     limits::shortage_control control_;
     /// See retries().
     limits::retry_preference retries_;
+    /// Admission levels over several instances; null if they are disabled.
+    limits::admission_levels* levels_;
+    /// Identifies the service in the levels.
+    std::uint32_t service_key_;
     /// Whether cost-aware requests are short of room.
     limits::shortage_state shortage_;
     /// When the waiting cost-aware requests were last checked for whether they
--- a/kumquatloom/entry/slot_queues.cpp
+++ b/kumquatloom/entry/slot_queues.cpp
@@ -21,7 +21,7 @@
         return nullptr;
     auto& queue = queues_[service];
     if (!queue || &queue->service() != found->second.get())
-        queue = new slot_queue(context_, found->second);
+        queue = new slot_queue(context_, found->second, state_.levels);
     return queue;
 }
 
--- a/kumquatloom/hosting/hosted_instance.cpp
+++ b/kumquatloom/hosting/hosted_instance.cpp
@@ -176,6 +176,7 @@
                   limits::quota_key(settings.domain.value()),
                   state.incarnation},
                  core::clock::now())
+        , levels(max_level_services)
         , replica(
               store.parse,
               {read_schedule.max_read_gap()},
@@ -192,6 +193,7 @@
                state.incarnation},
               tracker,
               quotas,
+              settings.admission_level ? &levels : nullptr,
               {[this](neighbour_message& message)
                {
                    replica.fill_message(message, core::clock::now());
@@ -229,6 +231,8 @@
     {
         state.ready = false;
         state.quotas = &quotas;
+        if (settings.admission_level)
+            state.levels = &levels;
         if (settings.strict_revocation)
             state.gate.revocations().limit_age(settings.max_revocation_delay);
         state.callers_port = callers.address().port();
@@ -662,6 +666,8 @@
     membership::read_schedule_settings const read_schedule;
     /// Quotas of organisations over the whole fleet.
     limits::quota_table quotas;
+    /// Admission levels of the services, used if the settings enable them.
+    limits::admission_levels levels;
     /// Local copy of the store's contents.
     store_replica replica;
     /// Exchange with the other instances of the failure domain.
--- a/kumquatloom/hosting/hosted_settings.hpp
+++ b/kumquatloom/hosting/hosted_settings.hpp
@@ -70,6 +70,10 @@
     /// Routes with a time limit of at most this use the cost-aware request
     /// policy; 0 disables it.
     std::chrono::milliseconds short_time_limit{1000};
+    /// Whether cost-aware requests are refused below an admission level that
+    /// the instances of a failure domain agree on, see
+    /// docs/design/admission-level.md.
+    bool admission_level = false;
     /// Time for which callers may cache the directory page.
     std::chrono::milliseconds directory_ttl{5000};
     /// Fraction of a service's upstreams that is never avoided. It may be lower
--- a/kumquatloom/hosting/neighbour_messenger.cpp
+++ b/kumquatloom/hosting/neighbour_messenger.cpp
@@ -17,6 +17,12 @@
 constexpr std::chrono::milliseconds min_load_interval{50};
 constexpr std::size_t min_interval_neighbours = 12;
 
+/// Interval between two updates of the admission levels, and the number of
+/// neighbours that each is sent to, in turn. With both constant, the cost of an
+/// instance does not grow with the domain.
+constexpr std::chrono::milliseconds level_interval{100};
+constexpr std::size_t level_receivers = 4;
+
 /// Weight of evidence reported by others, relative to own evidence. Neighbours
 /// share this instance's network paths. A failure seen by another domain may be
 /// caused by that domain's path to the upstream: its evidence suffices to avoid
@@ -31,10 +37,12 @@
                                          identity self,
                                          upstream_tracker& tracker,
                                          limits::quota_table& quotas,
+                                         limits::admission_levels* levels,
                                          hooks callbacks)
     : self_(std::move(self))
     , tracker_(tracker)
     , quotas_(quotas)
+    , levels_(levels)
     , hooks_(std::move(callbacks))
     , neighbours_({}, self_.address.host, self_.incarnation)
     , relay_(self_.domain, self_.region_domains)
@@ -53,6 +61,10 @@
                    handle(host, notice);
                },
                [this](std::string const& host, quota_message const& message)
+               {
+                   handle(host, message);
+               },
+               [this](std::string const& host, level_message const& message)
                {
                    handle(host, message);
                }})
@@ -119,6 +131,7 @@
     if (is_message_due(now))
         send_now();
     send_quotas(now);
+    send_levels(now);
     // The instance with the lowest rank reports for the domain.
     if (rank == 0)
         send_domain_reports(now);
@@ -183,6 +196,41 @@
         socket_.send({host, self_.address.port}, bytes);
 }
 
+void neighbour_messenger::send_levels(core::time_point now)
+{
+    if (levels_ == nullptr || now - levels_updated_ < level_interval)
+        return;
+    levels_updated_ = now;
+    levels_->update(now);
+    level_message message;
+    message.rooms = levels_->make_update(now);
+    auto const hosts = neighbours_.addresses();
+    if (message.rooms.empty() || hosts.empty())
+        return;
+    message.domain = self_.domain;
+    message.incarnation = self_.incarnation;
+    message.sequence = ++level_sequence_;
+    auto const bytes = encode(message);
+    for (std::size_t i = 0; i < std::min(level_receivers, hosts.size()); ++i)
+    {
+        last_level_target_ = (last_level_target_ + 1) % hosts.size();
+        socket_.send({hosts[last_level_target_], self_.address.port}, bytes);
+    }
+}
+
+void neighbour_messenger::handle(std::string const& host,
+                                 level_message const& message)
+{
+    if (levels_ == nullptr || message.domain != self_.domain ||
+        !neighbours_.contains(host))
+        return;
+    levels_->apply(limits::quota_key(host),
+                   message.incarnation,
+                   message.sequence,
+                   message.rooms,
+                   core::clock::now());
+}
+
 void neighbour_messenger::handle(std::string const& host,
                                  quota_message const& message)
 {
--- a/kumquatloom/hosting/neighbour_messenger.hpp
+++ b/kumquatloom/hosting/neighbour_messenger.hpp
@@ -10,6 +10,7 @@
 #include <kumquatloom/hosting/neighbour_socket.hpp>
 #include <kumquatloom/hosting/remote_load_table.hpp>
 #include <kumquatloom/hosting/upstream_tracker.hpp>
+#include <kumquatloom/limits/admission_levels.hpp>
 #include <kumquatloom/limits/quota_table.hpp>
 #include <kumquatloom/membership/neighbour_table.hpp>
 #include <kumquatloom/settings/endpoint.hpp>
@@ -55,12 +56,14 @@
             message_accepted;
     };
 
-    /// Binds to the address. Throws on failure. `tracker` and `quotas` must
-    /// outlive this object.
+    /// Binds to the address. Throws on failure. `tracker`, `quotas` and
+    /// `levels` must outlive this object. `levels` is null if admission levels
+    /// are disabled.
     neighbour_messenger(boost::asio::io_context& context,
                         identity self,
                         upstream_tracker& tracker,
                         limits::quota_table& quotas,
+                        limits::admission_levels* levels,
                         hooks callbacks);
 
     /// Starts receiving.
@@ -99,9 +102,11 @@
     void handle(std::string const& host, domain_report const& report);
     void handle(std::string const& host, departure_notice const& notice);
     void handle(std::string const& host, quota_message const& message);
+    void handle(std::string const& host, level_message const& message);
     void send_departures();
     void add_quota_sources(core::time_point now);
     void send_quotas(core::time_point now);
+    void send_levels(core::time_point now);
     void send_domain_reports(core::time_point now);
     void send_to(settings::endpoint const& target, bool wants_reply);
     neighbour_message make_message(bool wants_reply,
@@ -112,6 +117,8 @@
     upstream_tracker& tracker_;
     /// Quotas of organisations; nothing is sent while there are none.
     limits::quota_table& quotas_;
+    /// Admission levels of the services; null if they are disabled.
+    limits::admission_levels* levels_;
     hooks hooks_;
     membership::neighbour_table neighbours_;
     /// Load reported by neighbours and by other domains.
@@ -127,6 +134,11 @@
     core::time_point last_sent_;
     /// Time of the last counts of quotas sent to all neighbours.
     core::time_point last_quotas_sent_;
+    /// Time of the last update of the admission levels, its sequence number,
+    /// and the position among the neighbours of its last receiver.
+    core::time_point levels_updated_;
+    std::uint32_t level_sequence_ = 0;
+    std::size_t last_level_target_ = 0;
     /// Whether the known instances were added to the sources of the quotas.
     bool has_quota_sources_ = false;
     /// Number of neighbours that were live at the last tick.
--- a/kumquatloom/hosting/neighbour_socket.cpp
+++ b/kumquatloom/hosting/neighbour_socket.cpp
@@ -90,6 +90,8 @@
         return dispatch(bytes, handlers_.departures);
     case quota_message_version:
         return dispatch(bytes, handlers_.quotas);
+    case level_message_version:
+        return dispatch(bytes, handlers_.levels);
     default:
         return false;
     }
--- a/kumquatloom/hosting/neighbour_socket.hpp
+++ b/kumquatloom/hosting/neighbour_socket.hpp
@@ -3,6 +3,7 @@
 
 #include <kumquatloom/hosting/departure_notice.hpp>
 #include <kumquatloom/hosting/domain_report.hpp>
+#include <kumquatloom/hosting/level_message.hpp>
 #include <kumquatloom/hosting/neighbour_message.hpp>
 #include <kumquatloom/hosting/quota_message.hpp>
 #include <kumquatloom/settings/endpoint.hpp>
@@ -34,6 +35,8 @@
             departures;
         std::function<void(std::string const& host, quota_message const&)>
             quotas;
+        std::function<void(std::string const& host, level_message const&)>
+            levels;
     };
 
     /// Binds to the address. Throws on failure.
--- a/kumquatloom/limits/shortage_refusal.cpp
+++ b/kumquatloom/limits/shortage_refusal.cpp
@@ -11,6 +11,8 @@
         return "no-time";
     case shortage_refusal::target_out_of_reach:
         return "target-out-of-reach";
+    case shortage_refusal::admission_level:
+        return "admission-level";
     case shortage_refusal::queue_full:
         return "queue-full";
     case shortage_refusal::evicted:
--- a/kumquatloom/limits/shortage_refusal.hpp
+++ b/kumquatloom/limits/shortage_refusal.hpp
@@ -14,6 +14,8 @@
     /// On arrival: it can't meet its target, and more requests than there is
     /// room for are waiting.
     target_out_of_reach,
+    /// On arrival: other instances need the room for a higher priority.
+    admission_level,
     /// On arrival: the queue is full and its refusal costs least.
     queue_full,
     /// While waiting: the queue was full and its refusal cost least.
--- a/unit_tests/hosting/quota_message_test.cpp
+++ b/unit_tests/hosting/quota_message_test.cpp
@@ -1,5 +1,6 @@
 #include <kumquatloom/hosting/departure_notice.hpp>
 #include <kumquatloom/hosting/domain_report.hpp>
+#include <kumquatloom/hosting/level_message.hpp>
 #include <kumquatloom/hosting/neighbour_message.hpp>
 #include <kumquatloom/hosting/quota_message.hpp>
 
@@ -76,3 +77,36 @@
     CHECK(domain_report_version == 65);
     CHECK(departure_notice_version == 97);
 }
+
+// Guards against a report on the room that is read as another message, by this
+// build or the previous one, and against datagrams above 600 bytes.
+TEST_CASE("a level message differs from all other messages",
+          "[admission-level]")
+{
+    level_message message;
+    message.domain = core::failure_domain(std::string(40, 'd'));
+    message.incarnation = 5;
+    message.sequence = 6;
+    limits::room_report const room{{1.5F, 20, 1e9F}, 3, 4.25F};
+    message.rooms.assign(max_level_services,
+                         limits::service_room::from(9, true, room));
+    auto const bytes = encode(message);
+    REQUIRE_FALSE(bytes.empty());
+    CHECK(bytes.size() <= 600);
+    CHECK_FALSE(decode<neighbour_message>(bytes));
+    CHECK_FALSE(decode<domain_report>(bytes));
+    CHECK_FALSE(decode<departure_notice>(bytes));
+    CHECK_FALSE(decode<quota_message>(bytes));
+    auto const decoded = decode<level_message>(bytes);
+    REQUIRE(decoded);
+    CHECK(decoded->domain == message.domain);
+    CHECK(decoded->incarnation == 5);
+    CHECK(decoded->sequence == 6);
+    CHECK(decoded->rooms == message.rooms);
+    auto const report = decoded->rooms.front().report();
+    CHECK(report.arrivals_per_s[0] == 1.5F);
+    CHECK(report.arrivals_per_s[2] == 6553.5F);
+    CHECK(report.waiting == 3);
+    message.rooms.push_back(message.rooms.front());
+    CHECK(encode(message).empty());
+}
--- a/unit_tests/limits/admission_level_test.cpp
+++ b/unit_tests/limits/admission_level_test.cpp
@@ -1,4 +1,5 @@
 #include <kumquatloom/limits/admission_level.hpp>
+#include <kumquatloom/limits/admission_levels.hpp>
 
 #include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
@@ -183,3 +184,45 @@
             }
         });
 }
+
+// Guards against messages that never end, because each instance reports a
+// shortage only since others do, and against messages without need.
+TEST_CASE("the room is reported while it is short somewhere",
+          "[limits][admission-level]")
+{
+    constexpr std::uint32_t service = 7;
+    admission_levels here(1);
+    admission_levels there(1);
+    here.observe(service, overload, false, start);
+    there.observe(service, overload, false, start);
+    CHECK(here.make_update(start).empty());
+    here.observe(service, overload, true, start);
+    auto const news = here.make_update(start);
+    REQUIRE(news.size() == 1);
+    there.apply(1, 1, 1, news, start);
+    // The other one has room, and its report is needed.
+    auto const answer = there.make_update(start);
+    REQUIRE(answer.size() == 1);
+    CHECK(answer.front().is_short == 0);
+    here.apply(2, 1, 1, answer, start);
+    for (auto now = start; now < start + 500ms; now += 100ms)
+        here.update(now);
+    CHECK(here.value(service, start + 500ms) > 0);
+
+    SECTION("the reports end with the shortage")
+    {
+        auto const now = start + 1100ms;
+        here.observe(service, overload, false, now);
+        there.apply(1, 1, 2, here.make_update(now), now);
+        CHECK(here.make_update(now).empty());
+        CHECK(there.make_update(now).empty());
+    }
+
+    SECTION("services without requests and above the bound have no level")
+    {
+        here.observe(service + 1, overload, true, start);
+        CHECK(here.make_update(start).size() == 1);
+        here.update(start + 2s);
+        CHECK(here.value(service, start + 2s) == 0);
+    }
+}
