--- a/unit_tests/limits/shortage_test.cpp
+++ b/unit_tests/limits/shortage_test.cpp
@@ -1,5 +1,6 @@
 #include <kumquatloom/limits/retry_budget.hpp>
 #include <kumquatloom/limits/retry_preference.hpp>
+#include <kumquatloom/limits/return_order.hpp>
 #include <kumquatloom/limits/shortage_control.hpp>
 #include <kumquatloom/limits/shortage_state.hpp>
 #include <kumquatloom/request/return_delay.hpp>
@@ -173,6 +174,37 @@
     CHECK(return_delay(10s, 1s, 0.1) != return_delay(10s, 1s, 0.9));
 }
 
+// Guards against refused callers that return together, and against an
+// organisation that delays the returns of others.
+TEST_CASE("refused callers return as fast as slots become free",
+          "[limits][shortage]")
+{
+    return_order order;
+    auto const reserve = [&](char const* organisation, priority value)
+    {
+        return order.reserve(core::organisation_name(organisation),
+                             value,
+                             100ms,
+                             20ms,
+                             300ms,
+                             start);
+    };
+    CHECK(reserve("a", priority::low) == 100ms);
+    CHECK(reserve("b", priority::low) == 120ms);
+    CHECK(reserve("a", priority::low) == 140ms);
+    CHECK(reserve("a", priority::low) == 180ms);
+    // It is behind the shares of both, not behind all of the other one's.
+    CHECK(reserve("c", priority::low) == 180ms);
+    CHECK(reserve("a", priority::high) == 100ms);
+
+    SECTION("what a caller doesn't honour is not reserved")
+    {
+        while (reserve("a", priority::low) <= 300ms)
+            continue;
+        CHECK(reserve("d", priority::low) <= 300ms);
+    }
+}
+
 // Guards against a log line for each refused request.
 TEST_CASE("a shortage begins and ends once", "[limits][shortage]")
 {
