Test that the reports on the room end with the shortage

Cause: with the code changed so that each received report counts as a sign of a shortage, instances would keep each other reporting, and no test failed. Change: the test exchanges reports for 3 s after the last own sign. Result: with the code changed in that way the test fails; it passes as is.

--- a/unit_tests/limits/admission_level_test.cpp
+++ b/unit_tests/limits/admission_level_test.cpp
@@ -211,11 +211,16 @@
 
     SECTION("the reports end with the shortage")
     {
-        auto const now = start + 1100ms;
-        here.observe(service, overload, false, now);
-        there.apply(1, 1, 2, here.make_update(now), now);
-        CHECK(here.make_update(now).empty());
-        CHECK(there.make_update(now).empty());
+        std::uint32_t sequence = 2;
+        for (auto now = start; now < start + 3s; now += 100ms, ++sequence)
+        {
+            here.observe(service, overload, false, now);
+            there.observe(service, overload, false, now);
+            there.apply(1, 1, sequence, here.make_update(now), now);
+            here.apply(2, 1, sequence, there.make_update(now), now);
+        }
+        CHECK(here.make_update(start + 3s).empty());
+        CHECK(there.make_update(start + 3s).empty());
     }
 
     SECTION("services without requests and above the bound have no level")
