Read the list of instances only after an answer to the announcement

Cause: an instance that starts while the store is down would make two calls each half second, more than before (about 1 and 1.7 a second).

Change: the list is read after the announcement was accepted or refused with a final status, not while the store can't be reached.

--- a/kumquatloom/hosting/hosted_instance.cpp
+++ b/kumquatloom/hosting/hosted_instance.cpp
@@ -123,6 +123,13 @@
     return policy;
 }
 
+/// Whether a store that returns this error may serve reads nevertheless.
+bool is_refusal(log_service::append_error error)
+{
+    return error == log_service::append_error::rate_limited ||
+           error == log_service::append_error::refused;
+}
+
 /// The quotas of the organisations that have one.
 std::vector<limits::quota_limit> quota_limits(document::document const& source)
 {
@@ -307,26 +314,25 @@
                                       settings.listen.neighbours.host};
         asio::steady_timer join_timer(context);
         bool announced = false;
+        bool has_list = false;
         while (true)
         {
             auto const began = core::clock::now();
+            bool answered = true;
             if (!announced)
             {
                 auto const result = co_await store.announce(self);
                 announced = result.has_value();
+                answered = announced || is_refusal(result.error());
                 if (!announced)
                     core::log_warning("announcement_failed",
                                       {{"error", to_string(result.error())}});
             }
             // Read the list only now: an instance that adds itself later finds
             // this one in the list and contacts it.
-            auto const instances = co_await store.announced_instances();
-            if (instances)
-                apply_list(instances.value(), began);
-            else
-                core::log_warning("instances_unknown",
-                                  {{"error", to_string(instances.error())}});
-            if (announced && instances)
+            if (answered)
+                has_list = co_await read_list(began);
+            if (announced && has_list)
                 break;
             join_timer.expires_after(announce_retry_delay);
             co_await join_timer.async_wait(entry::as_result);
@@ -334,6 +340,18 @@
         quotas.mark_sources_complete();
     }
 
+    /// Reads the list of instances; returns whether that succeeded.
+    asio::awaitable<bool> read_list(core::time_point began)
+    {
+        auto const instances = co_await store.announced_instances();
+        if (instances)
+            apply_list(instances.value(), began);
+        else
+            core::log_warning("instances_unknown",
+                              {{"error", to_string(instances.error())}});
+        co_return instances.has_value();
+    }
+
     /// Adds listed instances. The call before the one that returned the list
     /// began at `began`.
     void apply_list(std::vector<announced_instance> const& instances,
