Use the trial permission in the measured proxy

The merge of the coverage of avoided upstreams left a caller of picker::choose with the old parameter, so that kumquatloom_measure did not compile.

--- a/measure/current_proxy.cpp
+++ b/measure/current_proxy.cpp
@@ -69,8 +69,12 @@
                            std::uint64_t random,
                            core::time_point now)
 {
-    auto const chosen = picker_->choose(
-        {attempt.request->tried, attempt.request->is_idempotent, random}, now);
+    auto const chosen = picker_->choose({attempt.request->tried,
+                                         attempt.request->is_idempotent
+                                             ? routing::trial_permission::due
+                                             : routing::trial_permission::none,
+                                         random},
+                                        now);
     if (!chosen)
         return false;
     attempt.chosen = chosen.value();
