Add mutations of the key and quota rules

Keys that were removed, are held by two organisations or reach an upstream, the token of a request that did not run, and the rise of all organisations.

--- a/kumquatloom/admission/authenticator.cpp
+++ b/kumquatloom/admission/authenticator.cpp
@@ -1,4 +1,5 @@
 #include <kumquatloom/admission/authenticator.hpp>
+#include <kumquatloom/core/mutation.hpp>
 
 #include <algorithm>
 #include <bit>
@@ -35,7 +36,8 @@
     names_.shrink();
     build_index();
     sort_buckets();
-    drop_ambiguous();
+    if (!core::is_mutated(core::mutation::keep_ambiguous_key))
+        drop_ambiguous();
     if (ambiguous_ > 0)
         build_index();
 }
--- a/kumquatloom/admission/header_filter.cpp
+++ b/kumquatloom/admission/header_filter.cpp
@@ -1,5 +1,6 @@
 #include <kumquatloom/admission/credential.hpp>
 #include <kumquatloom/admission/header_filter.hpp>
+#include <kumquatloom/core/mutation.hpp>
 #include <kumquatloom/request/header_names.hpp>
 
 #include <algorithm>
@@ -146,7 +147,8 @@
                     request::wire_dialect const& dialect,
                     document::access_rule access)
 {
-    bool const authenticates = !dialect.organisation.empty() &&
+    bool const authenticates = !core::is_mutated(core::mutation::forward_key) &&
+                               !dialect.organisation.empty() &&
                                access == document::access_rule::by_credential;
     return filtered(fields,
                     [&](std::string_view name)
--- a/kumquatloom/core/mutation.cpp
+++ b/kumquatloom/core/mutation.cpp
@@ -32,6 +32,11 @@
         "ignore_reported_counts",
         "start_with_full_quota",
         "spend_last_tokens_everywhere",
+        "accept_removed_key",
+        "keep_ambiguous_key",
+        "forward_key",
+        "keep_token_of_unrun_request",
+        "ignore_rise_of_load",
 };
 
 } // namespace
--- a/kumquatloom/limits/quota_table.cpp
+++ b/kumquatloom/limits/quota_table.cpp
@@ -190,7 +190,9 @@
     has_news_ = true;
     auto const others = estimate_others(entry, now);
     auto const horizon = seconds(propagation_time());
-    double const surge = surge_.factor(now);
+    double const surge = core::is_mutated(core::mutation::ignore_rise_of_load)
+                             ? 1
+                             : surge_.factor(now);
     double const available = entry.tokens - others.unknown * surge;
     // Requests that may compete for the same tokens before any instance hears
     // of the others' requests.
@@ -256,7 +258,8 @@
 void quota_table::give_back(std::uint32_t organisation, core::time_point now)
 {
     auto const position = entries_.find(organisation);
-    if (position == entries_.end())
+    if (position == entries_.end() ||
+        core::is_mutated(core::mutation::keep_token_of_unrun_request))
         return;
     auto& entry = position->second;
     accrue(entry, now);
