--- a/unit_tests/platform/mass_restart_test.cpp
+++ b/unit_tests/platform/mass_restart_test.cpp
@@ -15,6 +15,7 @@
 #include <stand_ins/platform_store_stand_in.hpp>
 #include <string>
 #include <thread>
+#include <unistd.h>
 #include <unit_tests/entry/raw_caller.hpp>
 #include <unit_tests/platform/platform_fixture.hpp>
 #include <unit_tests/platform/program_process.hpp>
@@ -40,9 +41,15 @@
            R"("idleTimeoutS":15}})";
 }
 
+/// Each process of the tests has addresses of its own, since the instances of
+/// one fixture listen on the same port and several tests run side by side.
 std::string address_of(unsigned number)
 {
-    return "127.199.0." + std::to_string(number + 1);
+    constexpr int networks = 200;
+    auto const process = ::getpid();
+    return "127." + std::to_string(20 + process % networks) + '.' +
+           std::to_string(process / networks % networks) + '.' +
+           std::to_string(number + 1);
 }
 
 /// Instances of one failure domain in this process, and their store.
