--- a/kumquatloom/admission/header_filter.hpp
+++ b/kumquatloom/admission/header_filter.hpp
@@ -28,12 +28,9 @@
 /// the prefix may be followed by any separator.
 bool is_reserved_name(std::string_view name);
 
-/// The request fields to forward to an upstream: without hop-by-hop and
-/// reserved fields, and without the fields that the instance itself writes in
-/// this dialect. If callers authenticate, the credential is removed, since the
-/// upstream could use it at any instance in the caller's name, and so is an
-/// organisation that the caller claims. The views refer to the same data as the
-/// input.
+/// The request fields to forward: not hop-by-hop or reserved ones, those that
+/// the instance writes in this dialect, the caller's credential, or a claimed
+/// organisation. The views refer to the same data as the input.
 std::vector<request::header_field> fields_for_upstream(
     std::span<request::header_field const> fields,
     request::wire_dialect const& dialect = request::default_dialect,
--- a/kumquatloom/admission/revocation_rule.hpp
+++ b/kumquatloom/admission/revocation_rule.hpp
@@ -10,10 +10,9 @@
 namespace kumquatloom::admission
 {
 
-/// Decides whether requests with a credential may be served although the
-/// removal of the credential may not have been received. Without a limit they
-/// always are. The limit is set before requests are checked; the other
-/// functions are thread-safe.
+/// Decides whether requests with a credential may be served although its
+/// removal may not have been received; without a limit they are. All functions
+/// but the one that sets the limit are thread-safe.
 class revocation_rule
 {
 public:
--- a/kumquatloom/entry/caller_session.hpp
+++ b/kumquatloom/entry/caller_session.hpp
@@ -38,10 +38,9 @@
 using session_hook = boost::intrusive::list_base_hook<
     boost::intrusive::link_mode<boost::intrusive::auto_unlink>>;
 
-/// One connection from a caller. Responses are written in the order of the
-/// requests. While a request is in progress, further ones are read ahead, and
-/// idempotent ones are executed beside it, as far as request::pipeline_state
-/// and limits::pipeline_window() allow.
+/// One connection from a caller. Requests behind the first are read ahead and
+/// executed beside it as far as request::pipeline_state and
+/// limits::pipeline_window() allow. Responses keep the order of the requests.
 class caller_session
     : public boost::intrusive_ref_counter<caller_session,
                                           boost::thread_unsafe_counter>,
--- a/kumquatloom/entry/slot_queue.hpp
+++ b/kumquatloom/entry/slot_queue.hpp
@@ -39,11 +39,9 @@
 namespace kumquatloom::entry
 {
 
-/// Queue of one worker's requests that wait for a free slot at an upstream of
-/// one service. Requests with the standard policy that can still meet their
-/// target come first, by priority; organisations take turns. For the order of
-/// cost-aware requests see limits::cost_aware_queue. Of the two, the one with
-/// the more urgent request is served first.
+/// Queue of one worker's requests that wait for a slot at an upstream of one
+/// service: those of the standard policy in a limits::priority_fair_queue, the
+/// others in a limits::cost_aware_queue. The more urgent request goes first.
 class slot_queue
     : public boost::intrusive_ref_counter<slot_queue,
                                           boost::thread_unsafe_counter>
--- a/kumquatloom/limits/admission_level.hpp
+++ b/kumquatloom/limits/admission_level.hpp
@@ -16,10 +16,8 @@
 {
 
 /// The pair of priority and slack below which new requests to a service are
-/// refused, from the reports of a sample of the fleet's instances. It keeps
-/// room for requests of a higher priority that arrive at other instances, so
-/// that it never refuses the most urgent priority in use. Without reports of
-/// others it refuses nothing. Not thread-safe.
+/// refused, from the reports of some instances. Never refuses the most urgent
+/// priority in use, nor anything without reports of others. Not thread-safe.
 class admission_level
 {
 public:
--- a/kumquatloom/limits/connection_shedding.hpp
+++ b/kumquatloom/limits/connection_shedding.hpp
@@ -56,18 +56,15 @@
 };
 
 /// How much is gained by closing the connection so that another one can be
-/// accepted; 0 if it must not be closed. A connection that has never carried a
-/// complete request comes before those that are idle for longer than callers
-/// reuse them, and the one without progress for the longest time comes first.
-/// A connection with a request in progress is never closed.
+/// accepted; 0 if it must not be closed. Those that never carried a complete
+/// request come first, then idle ones that callers no longer reuse.
 std::uint64_t connection_gain(connection_activity const& activity,
                               core::time_point now,
                               shedding_settings const& settings);
 
-/// How much is gained by refusing the request or the response of a connection
-/// so that its memory for this kind of messages can be used for another; 0 if
-/// it must not be refused. The one that has held the most for the longest time
-/// without progress comes first.
+/// How much is gained by refusing the message of a connection so that another
+/// one can use its memory; 0 if it must not be refused. The one that has held
+/// the most for the longest time without progress comes first.
 std::uint64_t memory_gain(connection_activity const& activity,
                           message_kind kind,
                           core::time_point now,
--- a/kumquatloom/limits/connection_turn.hpp
+++ b/kumquatloom/limits/connection_turn.hpp
@@ -19,11 +19,9 @@
     turn_number next = 0;
 };
 
-/// Assigns turns to the requests of one queue. Requests of callers that send
-/// one at a time keep the order of arrival. Pipelined requests of one
-/// connection get consecutive turns, as in start-time fair queueing, so that
-/// each connection has one request in each round; they come after the requests
-/// of the present round that are not pipelined.
+/// Assigns turns to the requests of one queue, as in start-time fair queueing:
+/// pipelined requests of a connection get consecutive turns, behind those of
+/// the present round that are not pipelined and keep the order of arrival.
 class turn_clock
 {
 public:
--- a/kumquatloom/limits/coverage_trials.hpp
+++ b/kumquatloom/limits/coverage_trials.hpp
@@ -10,10 +10,8 @@
 {
 
 /// Decides when any request of a service may be a trial at an avoided upstream,
-/// so that every upstream keeps getting requests. Handles a service that serves
-/// part of its requests only, while too few of them can be repeated to carry
-/// the trials. At other times a trial by a request that can't be repeated would
-/// cost its caller the response for little gain. Not thread-safe.
+/// although it can't be repeated. Handles a service that serves only part of
+/// its requests, so that its upstreams must stay covered. Not thread-safe.
 class coverage_trials
 {
 public:
--- a/kumquatloom/limits/retry_preference.hpp
+++ b/kumquatloom/limits/retry_preference.hpp
@@ -11,10 +11,9 @@
 namespace kumquatloom::limits
 {
 
-/// Keeps the retry budget of a service for the more urgent requests while many
-/// attempts are refused: a request may use only what the requests of a higher
-/// priority have not needed in the last second. Grants nothing that the retry
-/// budget doesn't, so that the budget's bound holds. Not thread-safe.
+/// While many attempts are refused, leaves a request only what the requests of
+/// higher priorities did not need of the retry budget in the last second. The
+/// budget itself still has to grant each retry. Not thread-safe.
 class retry_preference
 {
 public:
--- a/kumquatloom/limits/return_order.hpp
+++ b/kumquatloom/limits/return_order.hpp
@@ -12,17 +12,15 @@
 namespace kumquatloom::limits
 {
 
-/// Assigns the refused requests of a service the times at which they should
-/// return, so that those of a priority return as fast as slots become free for
-/// them, and not all at once. The organisations of a priority share that rate
-/// equally. Not thread-safe.
+/// Assigns times at which refused requests of a service should return: those of
+/// a priority as fast as slots become free for them, a rate which its
+/// organisations share equally. Not thread-safe.
 class return_order
 {
 public:
-    /// Time until there is room for a request that is refused now. `drain` is
-    /// the time until those that wait now are served, `interval` the time
-    /// between two slots for its priority, and `longest` the longest delay that
-    /// its caller honours. Reserves the room unless it is later than that.
+    /// Time until there is room for a request that is refused now, reserved
+    /// unless it exceeds `longest`. `drain` is the time until those that wait
+    /// are served, `interval` that between two slots for its priority.
     core::duration reserve(core::organisation_name const& organisation,
                            priority value,
                            core::duration drain,
--- a/kumquatloom/limits/room_estimate.hpp
+++ b/kumquatloom/limits/room_estimate.hpp
@@ -14,9 +14,8 @@
 {
 
 /// Estimates how long a request waits for a slot, from the rate at which this
-/// instance got slots of the service lately. The number of slots of the service
-/// says little about that, because all instances compete for them. Not
-/// thread-safe.
+/// instance got slots lately: all instances compete for the slots of a service,
+/// so that their number says little. Not thread-safe.
 class room_estimate
 {
 public:
--- a/kumquatloom/limits/round_clock.hpp
+++ b/kumquatloom/limits/round_clock.hpp
@@ -9,11 +9,9 @@
 namespace kumquatloom::limits
 {
 
-/// Rounds of a queue whose requests are ordered by slack within a round.
-/// Requests that are not pipelined belong to the present round, whichever it
-/// is. Pipelined ones of a connection belong to consecutive later rounds. A
-/// round ends when as many ordinary requests were served as waited at its
-/// beginning, or when none is left.
+/// Rounds of a queue: requests that are not pipelined belong to the present
+/// one, pipelined ones of a connection to consecutive later ones. A round ends
+/// when as many ordinary requests were served as waited at its beginning.
 class round_clock
 {
 public:
--- a/kumquatloom/limits/surge_estimate.hpp
+++ b/kumquatloom/limits/surge_estimate.hpp
@@ -11,9 +11,8 @@
 {
 
 /// Estimates by which factor the load of the other sources has risen since
-/// their reports, from the own load. Requests are often spread evenly, so a
-/// rise that covers many organisations is seen here before it is reported.
-/// Not thread-safe.
+/// their reports. A rise that covers many organisations shows in the own load
+/// before it is reported. Not thread-safe.
 class surge_estimate
 {
 public:
--- a/kumquatloom/membership/start_schedule.hpp
+++ b/kumquatloom/membership/start_schedule.hpp
@@ -13,11 +13,9 @@
 namespace kumquatloom::membership
 {
 
-/// Decides when an instance that has no contents yet reads the whole store, so
-/// that of the instances of a failure domain that start together about one
-/// does. Ranks are those of the addresses in the list of instances, which all
-/// of them know at the start. The lowest rank reads first; each of the others
-/// reads later than it takes the ranks before it to read and to say so.
+/// Decides when an instance without contents reads the whole store, so that
+/// about one of those in a failure domain that start together does: by rank in
+/// the order of addresses, each later than those before it take to report.
 class start_schedule
 {
 public:
--- a/kumquatloom/membership/start_schedule_settings.hpp
+++ b/kumquatloom/membership/start_schedule_settings.hpp
@@ -10,10 +10,9 @@
 /// Timing of the first read of the store by an instance that has started.
 struct start_schedule_settings
 {
-    /// Time after the list of instances was read in which neighbours that have
-    /// contents reply to a hello message. Short enough that the read and the
-    /// snapshots for the others end within the time that an instance waits for
-    /// replies anyway before it serves.
+    /// Time after the list was read in which neighbours with contents reply to
+    /// a hello message. The first read and the snapshots for the others still
+    /// end within the time for which an instance waits for replies anyway.
     std::chrono::milliseconds reply_time{15};
     /// Time after which listed instances that have not been heard from are
     /// taken for stopped. Covers the pauses of an instance that has a fraction
--- a/kumquatloom/request/pipeline_state.hpp
+++ b/kumquatloom/request/pipeline_state.hpp
@@ -8,10 +8,9 @@
 namespace kumquatloom::request
 {
 
-/// The requests of one connection that were read and not answered yet, in
-/// order. Decides whether the next one may be read and whether the first one
-/// that waits may start: idempotent requests run beside each other, and any
-/// other request runs alone.
+/// The unanswered requests of one connection, in order. Decides whether the
+/// next one may be read and whether the first one that waits may start:
+/// idempotent requests run beside each other, any other request runs alone.
 class pipeline_state
 {
 public:
--- a/kumquatloom/request/return_delay.hpp
+++ b/kumquatloom/request/return_delay.hpp
@@ -28,10 +28,8 @@
 }
 
 /// The delay after which a refused caller should return: when room is expected,
-/// spread over half of that time, so that callers which were refused together
-/// don't return together. Callers don't honour more than a third of the time
-/// that they have left, so that a longer delay would end the request.
-/// `fraction` is a random number in [0, 1).
+/// spread by `fraction`, a random number in [0, 1), over half of that time.
+/// Callers honour at most a third of the time that they have left.
 inline core::duration return_delay(core::duration room_expected,
                                    core::duration remaining,
                                    double fraction)
--- a/kumquatloom/routing/picker.cpp
+++ b/kumquatloom/routing/picker.cpp
@@ -182,11 +182,9 @@
     return *candidates.back();
 }
 
-/// Returns the candidate with the most recent success. Own results are the most
-/// recent, so that each instance prefers a few upstreams of its own and finds
-/// out first when one of these fails; a random choice among neighbours' reports
-/// would spread the requests over more upstreams. Among equal candidates the
-/// less used one is chosen, or a random one.
+/// Returns the candidate with the most recent success, the less used of equal
+/// ones. Own results are the most recent, so that each instance prefers a few
+/// upstreams of its own and finds out first when one of these fails.
 boost::intrusive_ptr<upstream> const&
 most_recent_of_all(candidate_list const& candidates,
                    random_sequence& random,
--- a/measure/failure_episodes.hpp
+++ b/measure/failure_episodes.hpp
@@ -56,10 +56,9 @@
 /// unknown one.
 episode_policy parse_episode_policy(std::string_view name);
 
-/// Runs the experiment in simulated time and returns its figures: the parts of
-/// the requests that got no usable response, attempts and trials that were
-/// reset, the spread of the load, and the time until an upstream is used after
-/// an episode.
+/// Runs the experiment in simulated time. Returns the parts of the requests
+/// without a usable response, the attempts and trials that were reset, the
+/// spread of the load, and the time until an upstream is used again.
 boost::json::object
 run_failure_episodes(failure_episodes_scenario const& setup);
 
--- a/measure/quota_experiment.hpp
+++ b/measure/quota_experiment.hpp
@@ -29,11 +29,9 @@
     std::uint64_t seed = 1;
 };
 
-/// Runs the experiment in simulated time. `worst_window` is the largest number
-/// of requests in a window relative to the bound, `refused_within_quota` the
-/// part of the requests within the quota that was not served although a single
-/// token bucket that sees all requests would have, `refused_worst_tenth` the
-/// same for the tenth of the organisations that has the most of them.
+/// Runs the experiment in simulated time. `worst_window` is relative to the
+/// bound; `refused_within_quota` is the part not served that one token bucket
+/// for all would have served, `refused_worst_tenth` that of the worst tenth.
 boost::json::object run_quota_experiment(quota_scenario const& setup);
 
 } // namespace kumquatloom::measure
--- a/measure/quota_fleet.hpp
+++ b/measure/quota_fleet.hpp
@@ -18,9 +18,8 @@
 {
 
 /// Simulated instances that enforce quotas with limits::quota_table and
-/// exchange updates as hosting::neighbour_messenger does: within a failure
-/// domain on change and at least every 250 ms, between domains every 100 or
-/// 400 ms through the oldest instance and one receiver that forwards.
+/// exchange updates at the intervals of hosting::neighbour_messenger, between
+/// domains through the oldest instance and one receiver that forwards.
 class quota_fleet
 {
 public:
--- a/measure/shortage.hpp
+++ b/measure/shortage.hpp
@@ -74,10 +74,9 @@
 shortage_policy parse_shortage_policy(std::string const& name);
 shortage_cause parse_shortage_cause(std::string const& name);
 
-/// Runs the experiment in simulated time and returns its figures over the time
-/// of the shortage: the worth served by priority as part of all, latencies,
-/// requests not served by reason, and the part served of the tenth of the
-/// organisations that are served worst.
+/// Runs the experiment in simulated time. Returns, over the shortage, the worth
+/// served by priority, latencies, requests not served by reason, and the part
+/// served of the tenth of the organisations that are served worst.
 boost::json::object run_shortage(shortage_scenario const& setup);
 
 } // namespace kumquatloom::measure
--- a/unit_tests/routing/trial_coverage_test.cpp
+++ b/unit_tests/routing/trial_coverage_test.cpp
@@ -40,10 +40,9 @@
             false};
 }
 
-/// A service of which every request can't be repeated, and of which every
-/// `unserved_interval`-th request is refused before it gets an upstream.
-/// Returns the number of upstreams without a request in the window that ends
-/// 3 s after the upstreams were blamed.
+/// Number of upstreams without a request in the window that ends 3 s after they
+/// were blamed. No request can be repeated, and every `unserved_interval`-th
+/// one is refused before it gets an upstream.
 int idle_upstreams(int unserved_interval)
 {
     std::vector<routing::listed_upstream> list;
