Measure slow readers only while a response is being written

Every response took one more system call (SIOCOUTQ) since slow readers are closed first, also if it fitted into one write. The measurement is now made only between writes. "slow readers make room for other responses" passes.

--- a/kumquatloom/entry/caller_session.cpp
+++ b/kumquatloom/entry/caller_session.cpp
@@ -604,7 +604,8 @@
             co_await http::async_write_some(stream_, serializer, as_result);
         failure = error;
         written_bytes_ += size;
-        if (write_progress_)
+        // Most responses fit into one write and need no measurement.
+        if (write_progress_ && !serializer.is_done())
             record_written();
     }
     co_return !failure && keep_open;
