Rename the sources of the cases 6 to 10

Cause: the build script of the earlier review builds every case.cpp below review/, with its own stand-ins, and failed at those of the new cases.

Change: names them program.cpp.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,7 +5,7 @@
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
 for number in 6 7 8 9 10; do
-    source="review/$number/case.cpp"
+    source="review/$number/program.cpp"
     [ -e "$source" ] || continue
     "${CXX:-g++}" -std=c++20 -O1 -Wall -Wextra -pthread -I. \
         "$source" review/stand_ins_2/*.cpp -o "target/review-2/case-$number"
